Read everything again after a watch was cut, and survive a hang-up

Storage instances claim no rate slots, the index entry of a job is written every 3 s at most, and records of known jobs are kept.

--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -323,6 +323,9 @@
     }
 
     fn tick_slots(&mut self, now: Timestamp) {
+        if !self.cfg.admits_callers {
+            return;
+        }
         let Some(rate) = &mut self.rate else { return };
         let mut live = self.listed_live.clone();
         live.extend(self.peers_up.iter().cloned());
--- a/crates/borageshed/src/control/thread.rs
+++ b/crates/borageshed/src/control/thread.rs
@@ -27,6 +27,8 @@
     pub incarnation: u64,
     /// The failure domain of this instance.
     pub failure_domain: Name,
+    /// Whether this instance takes a share of every account's rate, because it admits requests of callers.
+    pub admits_callers: bool,
     /// The most requests that are open at once.
     pub max_requests: usize,
     /// The seed of the decisions that are random.
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -1,8 +1,16 @@
 //! Assembles the daemon, runs it and drains it.
 
-use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::Arc,
+    time::Duration,
+};
 
 use anyhow::{Context, Result};
+use async_channel::Receiver;
 use async_std::task;
 use http_edge::{
     client::{Client, ClientSettings, RequestIdCheck},
@@ -11,10 +19,10 @@
 use kv_store::budget::BudgetConfig;
 use platform::{PlatformStore, PlatformStoreConfig};
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
-use slog::{info, o, warn};
+use slog::{Logger, info, o, warn};
 
 use crate::{
     api, batch_work,
@@ -25,7 +33,7 @@
     peers::{self, Peers},
     settings::{FleetSource, Settings},
     shared::{Parts, Shared},
-    silence,
+    silence, summary,
 };
 
 /// How long a drain waits for the slots to be released; slots that stay claimed lapse by themselves.
@@ -41,7 +49,7 @@
 /// # Errors
 ///
 /// Fails if an address cannot be bound or a thread cannot be started.
-pub fn run(settings: Settings) -> Result<ExitCode> {
+pub fn run(settings: Settings, file: PathBuf) -> Result<ExitCode> {
     let log = logging::logger(&settings);
     let clock = Clock::start();
     let incarnation = clock::unix_millis();
@@ -51,13 +59,15 @@
         instance: settings.instance.clone(),
         incarnation,
         failure_domain: settings.failure_domain.clone(),
+        admits_callers: settings.listen.is_some(),
         max_requests: settings.limits.requests,
         seed: incarnation,
     };
     let control_log = log.new(o!("thread" => "control"));
     let (control, thread) = control::start(control_config, clock, control_log, effects_tx)
         .context("cannot start the control thread")?;
-    let stop = stop_signal().context("cannot install the signal handler")?;
+    let stop = stop_signal(log.clone(), settings.clone(), file)
+        .context("cannot install the signal handler")?;
     let silent = silence::channel();
     let parts = Parts {
         client: client(&settings, silent.0),
@@ -98,6 +108,7 @@
     task::spawn(peers::run(Arc::clone(&cx), peers.clone()));
     task::spawn(effects::run(Arc::clone(&cx), peers.clone(), effects));
     task::spawn(effects::load_verdicts(Arc::clone(&cx)));
+    task::spawn(summary::run(Arc::clone(&cx)));
     task::spawn(membership::register(Arc::clone(&cx)));
     task::spawn(membership::follow(Arc::clone(&cx), peers.clone()));
     match cx.settings.source {
@@ -164,19 +175,42 @@
     }
 }
 
-/// Returns a channel that receives a message for each stop signal.
-fn stop_signal() -> Result<async_channel::Receiver<()>> {
+/// Returns a channel that receives a message for each stop signal; a hang-up re-reads the settings.
+fn stop_signal(log: Logger, settings: Settings, file: PathBuf) -> Result<Receiver<()>> {
     let (tx, rx) = async_channel::bounded(1);
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
-        for _ in signals.forever() {
-            // One message is enough; later signals change nothing.
-            let _ = tx.try_send(());
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                check_settings(&log, &settings, &file);
+            } else {
+                // One message is enough; later signals change nothing.
+                let _ = tx.try_send(());
+            }
         }
     })?;
     Ok(rx)
 }
 
+/// Says whether the settings have changed; they take effect at the next start, which a restart in turn brings about
+/// without cutting a request.
+fn check_settings(log: &Logger, settings: &Settings, file: &Path) {
+    let name = file.display().to_string();
+    let text = match fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(e) => {
+            warn!(log, "settings not read again"; "file" => name, "error" => %e);
+            return;
+        }
+    };
+    match Settings::parse(&name, &text) {
+        Ok(new) => {
+            info!(log, "settings read again"; "file" => name, "changed" => new != *settings);
+        }
+        Err(e) => warn!(log, "changed settings are not valid"; "file" => name, "error" => %e),
+    }
+}
+
 fn client(settings: &Settings, silent: silence::Reporter) -> Client {
     let cfg = ClientSettings {
         first_byte_timeout: Duration::from_millis(settings.limits.first_byte_ms),
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use futures::future::{AbortHandle, Either, abortable, select};
 use http_types::{Method, headers::HeaderValue};
 use jobs::{
@@ -36,6 +36,8 @@
 const CLAIM_RETRY: Duration = Duration::from_millis(500);
 /// The pause before the index is read again after a failure.
 const INDEX_RETRY: Duration = Duration::from_millis(300);
+/// How often the index is read again, in case the service has dropped a change that a watch should have shown.
+const INDEX_REREAD: Duration = Duration::from_secs(6);
 /// The least time between two transactions of a job, so that results that arrive together share one.
 const COMMIT_GAP: Duration = Duration::from_millis(120);
 /// The longest time that a target gets for an item.
@@ -205,7 +207,7 @@
             job.run.give_up_late(unix_ms);
         }
         self.start_items(unix_ms);
-        self.commit(now);
+        self.commit(now, unix_ms);
     }
 
     fn claim_due(&mut self, now: Timestamp) {
@@ -276,9 +278,9 @@
         }
     }
 
-    fn commit(&mut self, now: Timestamp) {
+    fn commit(&mut self, now: Timestamp, unix_ms: u64) {
         for job in self.own.values_mut().filter(|it| it.commit_after <= now) {
-            let Some(transaction) = job.run.commit() else { continue };
+            let Some(transaction) = job.run.commit(unix_ms) else { continue };
             job.commit_after = now + COMMIT_GAP;
             let id = job.run.id().clone();
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
@@ -443,8 +445,10 @@
     let _ = events.try_send(Event::Index(IndexChange::Listed { open, claimed }));
     let opened = cx.store.watch(OPEN_PREFIX, index.revision.next());
     let claimed = cx.store.watch(CLAIM_PREFIX, claims.revision.next());
+    let until = cx.clock.now() + INDEX_REREAD;
     loop {
-        let next = select(Box::pin(opened.next()), Box::pin(claimed.next())).await;
+        let next = select(Box::pin(opened.next()), Box::pin(claimed.next()));
+        let Ok(next) = timeout(until.since(cx.clock.now()), next).await else { return Ok(()) };
         let (Either::Left((event, _)) | Either::Right((event, _))) = next;
         let change = match event {
             Some(WatchEvent::Put(entry)) if entry.key.starts_with(CLAIM_PREFIX) => {
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`daemon`]: assembles the parts, runs them and drains.
 //! - [`settings`], [`logging`], [`clock`], [`metrics`], [`status`]: what surrounds the work.
+//! - [`summary`]: totals in the log from time to time.
 //! - [`shared`]: the context that every task gets.
 //! - [`control`]: the control thread, which takes every decision about a request.
 //! - [`effects`]: performs what the control thread asks for.
 //! - [`batch_work`]: runs batch jobs.
 //! - [`job_work`]: runs batch jobs whose items come with their submission.
+//! - [`known_jobs`]: the records of jobs that callers asked for lately.
 //! - [`api`]: the HTTP interface towards callers and operators.
 //! - [`online`]: runs one request on targets.
 //! - [`idempotency`]: one execution of non-idempotent requests with a key.
@@ -32,6 +34,7 @@
 pub mod idempotency;
 pub mod in_force;
 pub mod job_work;
+pub mod known_jobs;
 pub mod load_reports;
 pub mod loans;
 pub mod logging;
@@ -44,4 +47,5 @@
 pub mod shared;
 pub mod silence;
 pub mod status;
+pub mod summary;
 pub mod suspects;
--- a/crates/borageshed/src/main.rs
+++ b/crates/borageshed/src/main.rs
@@ -39,5 +39,5 @@
     if args.check {
         return Ok(ExitCode::SUCCESS);
     }
-    daemon::run(settings)
+    daemon::run(settings, args.settings.clone())
 }
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     batch_work, burn::Burn, clock::Clock, control::ControlHandle, directory::Directory, in_force,
-    metrics::Metrics, settings::Settings,
+    known_jobs::KnownJobs, metrics::Metrics, settings::Settings,
 };
 
 /// The context that every task of a daemon gets.
@@ -48,6 +48,8 @@
     pub client: Client,
     /// The configuration in force.
     pub in_force: in_force::Cell,
+    /// The records of jobs that callers asked for lately.
+    pub known_jobs: KnownJobs,
     /// Where the targets listen.
     pub directory: Directory,
     /// The batch work.
@@ -97,6 +99,7 @@
             control,
             client,
             in_force: in_force::Cell::default(),
+            known_jobs: KnownJobs::default(),
             directory: Directory::default(),
             batch: batch_work::Handle::default(),
             draining: Signal::new(),
--- /dev/null
+++ b/crates/borageshed/src/summary.rs
@@ -0,0 +1,28 @@
+//! A line in the log from time to time with totals, for those who have only the log.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use slog::info;
+
+use crate::shared::Shared;
+
+/// How often the line is written.
+const INTERVAL: Duration = Duration::from_secs(10);
+
+/// Runs until the daemon ends.
+pub async fn run(cx: Arc<Shared>) {
+    loop {
+        task::sleep(INTERVAL).await;
+        let calls: Vec<String> = cx
+            .platform_calls()
+            .filter(|(_, count)| *count > 0)
+            .map(|(kind, count)| format!("{kind}:{count}"))
+            .collect();
+        info!(
+            cx.log, "totals since the start";
+            "requests_open" => cx.control.open_requests(), "store_calls" => calls.join(","),
+            "store_silent_s" => cx.platform_silent_s()
+        );
+    }
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -12,6 +12,9 @@
 
 /// Results in one transaction, whose record, index entry and conditions take four more of the 32 operations.
 const MAX_RESULTS: usize = 24;
+/// The least time between two writes of the index entry while items are left, in milliseconds: each of them wakes every
+/// daemon that runs items, and an entry that counts finished items for a while only makes the account wait.
+const INDEX_INTERVAL_MS: u64 = 3_000;
 /// Bytes of results in one transaction.
 const MAX_RESULT_BYTES: usize = 2_000_000;
 
@@ -47,6 +50,8 @@
     unsaved: VecDeque<(usize, ItemResult)>,
     /// The results in the transaction that is under way.
     saving: usize,
+    /// When the index entry was written last, in milliseconds since the Unix epoch.
+    indexed_ms: u64,
 }
 
 impl JobRun {
@@ -70,6 +75,7 @@
             failures,
             unsaved: VecDeque::new(),
             saving: 0,
+            indexed_ms: 0,
         }
     }
 
@@ -133,7 +139,7 @@
     }
 
     /// Returns the transaction that stores finished results, if there are any and none is under way.
-    pub fn commit(&mut self) -> Option<Transaction> {
+    pub fn commit(&mut self, unix_ms: u64) -> Option<Transaction> {
         if self.unsaved.is_empty() || self.saving > 0 {
             return None;
         }
@@ -156,10 +162,14 @@
         for (key, value) in results {
             transaction = transaction.write(key, value);
         }
-        Some(match record.is_ended() {
-            true => transaction.remove(self.id.open()),
-            false => transaction.write(self.id.open(), encode(&self.open_entry(&record))),
-        })
+        if record.is_ended() {
+            return Some(transaction.remove(self.id.open()));
+        }
+        if unix_ms < self.indexed_ms + INDEX_INTERVAL_MS {
+            return Some(transaction);
+        }
+        self.indexed_ms = unix_ms;
+        Some(transaction.write(self.id.open(), encode(&self.open_entry(&record))))
     }
 
     /// Notes that the transaction under way took effect.
