Keep what never changes about jobs, and give restarted daemons a head start

Change: a setting gives the shares a second of refill at the start of a run, at most half of them; entry daemons keep records and items of jobs, bounded.

--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -6,7 +6,7 @@
 use http_edge::problem::{Execution, Problem, ProblemKind};
 use http_types::{Response, StatusCode};
 use jobs::{
-    ItemResult, JobId, JobRecord, OpenJob, Submission, key::OPEN_PREFIX, model, submission,
+    Item, ItemResult, JobId, JobRecord, OpenJob, Submission, key::OPEN_PREFIX, model, submission,
 };
 use kv_store::{Committed, Entry, Error, Revision};
 use platform::{ingress::RequestHints, jobs as wire, jobs::JobCall};
@@ -113,39 +113,61 @@
 }
 
 async fn results(cx: &Shared, identity: &Identity, id: &JobId, after: usize) -> Result<Response> {
-    let job = owned(cx, identity, id).await?;
+    let known = known(cx, identity, id).await?;
     let mut results: Vec<ItemResult> = Vec::new();
     let mut bytes = 0;
-    if after < job.record.listed.len() {
-        let last = after.checked_sub(1).map(|it| id.result(it));
-        let page = cx.store.page(&id.results(), last.as_deref(), usize::MAX).await;
-        for entry in page.map_err(store_problem)?.entries {
-            bytes += entry.value.len();
-            if !results.is_empty() && bytes > MAX_RESULT_BYTES {
-                break;
-            }
-            results
-                .push(serde_json::from_slice(&entry.value).map_err(|e| damaged(&entry.key, &e))?);
+    let last = after.checked_sub(1).map(|it| id.result(it));
+    let page = cx.store.page(&id.results(), last.as_deref(), usize::MAX).await;
+    for entry in page.map_err(store_problem)?.entries {
+        bytes += entry.value.len();
+        if !results.is_empty() && bytes > MAX_RESULT_BYTES {
+            break;
         }
+        results.push(serde_json::from_slice(&entry.value).map_err(|e| damaged(&entry.key, &e))?);
     }
     let mut res = Response::new(StatusCode::Ok);
-    res.set_body(wire::results(job.record.total, after, &results));
+    res.set_body(wire::results(known.total, after, &results));
     res.insert_header("content-type", "application/json");
     Ok(res)
 }
 
 async fn body(cx: &Shared, identity: &Identity, id: &JobId, item: &str) -> Result<Response> {
-    let job = owned(cx, identity, id).await?;
-    for n in 0..job.record.parts {
+    let known = known(cx, identity, id).await?;
+    let items = match cx.known_jobs.items(id) {
+        Some(items) => items,
+        None => read_items(cx, id, &known).await?,
+    };
+    let Some(found) = items.iter().find(|it| it.id.as_str() == item) else {
+        let detail = "the job has no such item";
+        return Err(Problem::new(ProblemKind::NotFound, Execution::NotRun, detail));
+    };
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(found.body.0.as_slice());
+    Ok(res)
+}
+
+async fn read_items(cx: &Shared, id: &JobId, record: &JobRecord) -> Result<Arc<[Item]>> {
+    let mut items = Vec::with_capacity(record.total);
+    for n in 0..record.parts {
         let part = cx.store.get(&id.part(n)).await.map_err(store_problem)?.ok_or_else(no_job)?;
-        let items = model::items_of_part(&part.value).map_err(|e| damaged(&part.key, &e))?;
-        if let Some(found) = items.into_iter().find(|it| it.id.as_str() == item) {
-            let mut res = Response::new(StatusCode::Ok);
-            res.set_body(found.body.0);
-            return Ok(res);
+        items.extend(model::items_of_part(&part.value).map_err(|e| damaged(&part.key, &e))?);
+    }
+    let items: Arc<[Item]> = items.into();
+    cx.known_jobs.keep_items(id, &items);
+    Ok(items)
+}
+
+/// Returns what never changes about a job: to whom it belongs and of what it consists.
+async fn known(cx: &Shared, identity: &Identity, id: &JobId) -> Result<Arc<JobRecord>> {
+    match cx.known_jobs.record(id) {
+        Some(it) if it.account() == identity.account.name => Ok(it),
+        Some(_) => Err(no_job()),
+        None => {
+            let record = Arc::new(owned(cx, identity, id).await?.record);
+            cx.known_jobs.keep_record(id, &record);
+            Ok(record)
         }
     }
-    Err(Problem::new(ProblemKind::NotFound, Execution::NotRun, "the job has no such item"))
 }
 
 async fn end(cx: &Shared, identity: &Identity, id: &JobId) -> Result<Response> {
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -271,7 +271,8 @@
             DEFAULT_SLOT_VALIDITY,
             rng::seeded(self.cfg.seed ^ 1),
         );
-        let limiter = RateLimiter::new(now, document, rng::seeded(self.cfg.seed ^ 2));
+        let limiter = RateLimiter::new(now, document, rng::seeded(self.cfg.seed ^ 2))
+            .with_head_start(self.cfg.head_start);
         Rate { admits_at: now + DONOR_HOLD, limiter, slots, holdings: Holdings::default() }
     }
 
--- a/crates/borageshed/src/control/thread.rs
+++ b/crates/borageshed/src/control/thread.rs
@@ -4,6 +4,7 @@
     io,
     sync::mpsc::{Receiver, RecvTimeoutError, channel},
     thread::{self, JoinHandle},
+    time::Duration,
 };
 
 use slog::Logger;
@@ -29,6 +30,8 @@
     pub failure_domain: Name,
     /// Whether this instance takes a share of every account's rate, because it admits requests of callers.
     pub admits_callers: bool,
+    /// The time whose refill may be spent right after the start.
+    pub head_start: Duration,
     /// The most requests that are open at once.
     pub max_requests: usize,
     /// The seed of the decisions that are random.
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -60,6 +60,7 @@
         incarnation,
         failure_domain: settings.failure_domain.clone(),
         admits_callers: settings.listen.is_some(),
+        head_start: Duration::from_millis(settings.rate_allowance.head_start_ms),
         max_requests: settings.limits.requests,
         seed: incarnation,
     };
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`effects`]: performs what the control thread asks for.
 //! - [`batch_work`]: runs batch jobs.
 //! - [`job_work`]: runs batch jobs whose items come with their submission.
-//! - [`known_jobs`]: the records of jobs that callers asked for lately.
+//! - [`known_jobs`]: what never changes about the jobs that callers asked for lately.
 //! - [`api`]: the HTTP interface towards callers and operators.
 //! - [`online`]: runs one request on targets.
 //! - [`idempotency`]: one execution of non-idempotent requests with a key.
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -71,6 +71,8 @@
         pub share: f64,
         /// Added to the burst, in requests.
         pub burst: f64,
+        /// The time whose refill an instance may spend right after its start, in milliseconds.
+        pub head_start_ms: u64,
     }
 }
 
--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -47,6 +47,8 @@
     own_slots: Vec<Timestamp>,
     /// Until then loans of an earlier run under the same id may be spent.
     ready_at: Timestamp,
+    /// The time whose refill the shares hold when the instance gets its first slots.
+    head_start: Duration,
     /// When slots or limits were last reduced; loans may exceed the share until they lapse.
     reduced_at: Option<Timestamp>,
     shares: HashMap<AccountId, Share>,
@@ -83,6 +85,7 @@
             slots: doc.fleet.rate_slots,
             own_slots: Vec::new(),
             ready_at: now + DONOR_HOLD,
+            head_start: Duration::ZERO,
             reduced_at: None,
             shares: HashMap::new(),
             borrowers: BTreeMap::new(),
@@ -98,6 +101,15 @@
         limiter
     }
 
+    /// Lets the shares begin with what they refill in a time, but at most half full, instead of empty.
+    ///
+    /// An earlier run of the instance may have spent its shares just before, so the sum over all instances can exceed an
+    /// account's limits by that much for each restart. It is for deployments that leave that room above the limits.
+    #[must_use]
+    pub fn with_head_start(self, head_start: Duration) -> Self {
+        Self { head_start, ..self }
+    }
+
     /// Puts a document in force.
     ///
     /// Levels never grow by it: a new account starts empty, and a limit that is raised fills at the new rate. Callers
@@ -283,6 +295,14 @@
             share.refill(now, before);
             share.refill(now, after);
         }
+        if before.held == 0 && !self.head_start.is_zero() {
+            let time = std::mem::take(&mut self.head_start);
+            for share in self.shares.values_mut() {
+                let half = Tokens::from_billionths(share.burst().part(after).billionths() / 2);
+                let amount = share.rate().part(after).over(time).min(half);
+                share.fill(now, amount, after);
+            }
+        }
         if after.held < before.held {
             self.reduced_at = Some(now);
         }
--- a/crates/policy/src/rate/share.rs
+++ b/crates/policy/src/rate/share.rs
@@ -33,6 +33,12 @@
         self.level = self.level.min(self.capacity(part));
     }
 
+    /// Adds tokens at the start of a run, as far as the share holds them.
+    pub fn fill(&mut self, now: Timestamp, amount: Tokens, part: Part) {
+        self.refill(now, part);
+        self.level = (self.level + amount).min(self.capacity(part));
+    }
+
     /// Replaces the limits; the level never grows by it.
     pub fn set_limits(&mut self, now: Timestamp, rate: Rate, burst: Tokens, part: Part) {
         self.refill(now, part);
