--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -70,6 +70,7 @@
         match admission.next().await {
             Some(Directive::Dispatch { target, .. }) => {
                 on_placed();
+                debug!(cx.log, "item placed"; "request" => &call.request_id, "target" => %target);
                 match run_attempt(cx, call, admission, &target, output).await {
                     Attempt::Next(held) => admission = held,
                     ended => return ended,
@@ -137,6 +138,7 @@
     match read(res, &admission, output).await {
         Read::Whole => {
             attempt::observe_request(cx, call, started);
+            debug!(cx.log, "item completed"; "request" => &call.request_id, "target" => %target);
             admission.completed(Some(output.events()));
             Attempt::Ended(ItemEnd::Completed { text: output.take_text() })
         }
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -25,6 +25,7 @@
     server::Caller,
 };
 use http_types::Response;
+use slog::debug;
 
 use crate::{
     burn,
@@ -75,6 +76,7 @@
         Ok(admission) => admission,
         Err(e) => return Ended::Refused(refusal::too_many_requests(&e)),
     };
+    let received = cx.clock.now();
     let mut admission = Some(admission);
     // The answer of a failed attempt, which is better than none if no other attempt follows.
     let mut failed_answer = None;
@@ -84,8 +86,13 @@
             Either::Right(_) => return Ended::CallerGone,
         };
         match next {
-            Some(Directive::Dispatch { target, .. }) => {
+            Some(Directive::Dispatch { target, attempt }) => {
                 cx.metrics.attempts.get_or_create(&labels(&call)).inc();
+                debug!(
+                    cx.log, "request placed";
+                    "request" => &call.request_id, "target" => %target, "attempt" => attempt,
+                    "waited_ms" => cx.clock.now().since(received).as_millis() as u64
+                );
                 match attempt::run(cx, &call, held, &target, caller).await {
                     AttemptEnd::Answered(res) => return Ended::Answered(res),
                     AttemptEnd::Final(problem) => return Ended::Refused(problem),
--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -35,6 +35,8 @@
 /// How long a refused caller should wait if no share of the account refills.
 const RETRY_WITHOUT_RATE: Duration = Duration::from_secs(60);
 const RETRY_MIN: Duration = Duration::from_millis(1);
+/// The time after the start of an instance within which it takes back the slots of its earlier run.
+const HEAD_START_WINDOW: Duration = Duration::from_secs(5);
 /// How often an account in use is looked at while callers wait or loans are in demand.
 const ACTIVE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -47,8 +49,9 @@
     own_slots: Vec<Timestamp>,
     /// Until then loans of an earlier run under the same id may be spent.
     ready_at: Timestamp,
-    /// The time whose refill the shares hold when the instance gets its first slots.
+    /// The time whose refill the shares of the first slots hold, and until when slots count as such.
     head_start: Duration,
+    head_start_until: Timestamp,
     /// When slots or limits were last reduced; loans may exceed the share until they lapse.
     reduced_at: Option<Timestamp>,
     shares: HashMap<AccountId, Share>,
@@ -86,6 +89,7 @@
             own_slots: Vec::new(),
             ready_at: now + DONOR_HOLD,
             head_start: Duration::ZERO,
+            head_start_until: now + HEAD_START_WINDOW,
             reduced_at: None,
             shares: HashMap::new(),
             borrowers: BTreeMap::new(),
@@ -295,11 +299,11 @@
             share.refill(now, before);
             share.refill(now, after);
         }
-        if before.held == 0 && !self.head_start.is_zero() {
-            let time = std::mem::take(&mut self.head_start);
+        if after.held > before.held && now < self.head_start_until && !self.head_start.is_zero() {
+            let gained = Part { held: after.held - before.held, of: after.of };
             for share in self.shares.values_mut() {
-                let half = Tokens::from_billionths(share.burst().part(after).billionths() / 2);
-                let amount = share.rate().part(after).over(time).min(half);
+                let half = Tokens::from_billionths(share.burst().part(gained).billionths() / 2);
+                let amount = share.rate().part(gained).over(self.head_start).min(half);
                 share.fill(now, amount, after);
             }
         }
