Choose the next item by whether it can be in time, retire storage instances, remember daemons

Change: jobs::order puts items that can be in time first, begun ones ahead; an interrupted item goes back to the worker. Heartbeats name targets by 32-bit ids in parallel lists (6 bytes a target).

--- a/crates/borageshed/examples/capacity/targets.rs
+++ b/crates/borageshed/examples/capacity/targets.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Result;
 use async_std::task;
-use peer::{Heartbeat, Message, TargetLoad};
+use peer::{Heartbeat, Message};
 use serde_json::json;
 use test_support::{
     deployment::{Deployment, Plan},
@@ -27,9 +27,9 @@
         let heartbeat = Heartbeat {
             sequence: 1_000_000,
             revision: 1_000,
-            loads: (0..count as u64)
-                .map(|target| TargetLoad { target, online: 1, batch: 1, suspects: 0 })
-                .collect(),
+            targets: (0..count as u32).collect(),
+            online: vec![1; count],
+            batch: vec![1; count],
             ..Heartbeat::default()
         };
         let bytes = peer::message::encode(&Message::Heartbeat(heartbeat))?.len();
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -31,6 +31,7 @@
     control::{ControlConfig, ControlEvent},
     effects, job_work, load_reports, logging, membership, operator,
     peers::{self, Peers},
+    retirement,
     settings::{FleetSource, Settings},
     shared::{Parts, Shared},
     silence, summary,
@@ -125,7 +126,10 @@
     match cx.settings.source {
         _ if !cx.settings.batch.enabled => {}
         FleetSource::Document => batch_work::start(&cx, peers.clone()),
-        FleetSource::Operator => job_work::start(&cx),
+        FleetSource::Operator => {
+            job_work::start(&cx);
+            task::spawn(retirement::run(Arc::clone(&cx)));
+        }
     }
     let callers = match cx.settings.listen {
         Some(listen) => Some(listen_for_callers(&cx, listen).await?),
--- a/crates/borageshed/src/directory.rs
+++ b/crates/borageshed/src/directory.rs
@@ -11,11 +11,17 @@
 use twox_hash::XxHash64;
 
 value_type! {
-    /// The short identity of a target or service, by which daemons name it to each other.
+    /// The short identity of a service, by which daemons name it to each other.
+    #[derive(Copy)]
+    pub struct ServiceId(pub u64);
+}
+
+value_type! {
+    /// The short identity of a target, by which daemons name it to each other.
     ///
-    /// It is a 64-bit hash: of 1,000 names, two collide with a probability of 3e-14, and would share their load.
+    /// It is a 32-bit hash: of 910 targets, two collide with a probability of 1e-4, and would share their load.
     #[derive(Copy)]
-    pub struct ShortId(pub u64);
+    pub struct TargetId(pub u32);
 }
 
 value_type! {
@@ -32,8 +38,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     addresses: BTreeMap<TargetName, SocketAddr>,
-    targets: HashMap<ShortId, TargetName>,
-    services: HashMap<ShortId, QualifiedName>,
+    targets: HashMap<TargetId, TargetName>,
+    services: HashMap<ServiceId, QualifiedName>,
 }
 
 /// Holds the targets; readers get a snapshot.
@@ -42,17 +48,21 @@
     current: RwLock<Arc<Table>>,
 }
 
-impl ShortId {
+impl ServiceId {
     /// Returns the short identity of a service.
-    pub fn of_service(service: &QualifiedName) -> Self {
+    pub fn of(service: &QualifiedName) -> Self {
         const SEED: u64 = 1;
         Self(XxHash64::oneshot(SEED, service.to_string().as_bytes()))
     }
+}
 
+impl TargetId {
     /// Returns the short identity of a target.
-    pub fn of_target(service: &QualifiedName, target: &Name) -> Self {
-        let Self(seed) = Self::of_service(service);
-        Self(XxHash64::oneshot(seed, target.as_bytes()))
+    pub fn of(service: &QualifiedName, target: &Name) -> Self {
+        let ServiceId(seed) = ServiceId::of(service);
+        let hash = XxHash64::oneshot(seed, target.as_bytes());
+        // Any 32 bits of the hash are as good as others.
+        Self((hash >> 32) as u32)
     }
 }
 
@@ -61,8 +71,8 @@
     pub fn new(targets: impl IntoIterator<Item = (TargetName, SocketAddr)>) -> Self {
         let mut table = Self::default();
         for (name, address) in targets {
-            let id = ShortId::of_target(&name.service, &name.target);
-            table.services.insert(ShortId::of_service(&name.service), name.service.clone());
+            let id = TargetId::of(&name.service, &name.target);
+            table.services.insert(ServiceId::of(&name.service), name.service.clone());
             table.targets.insert(id, name.clone());
             table.addresses.insert(name, address);
         }
@@ -81,12 +91,12 @@
     }
 
     /// Returns the target with a short identity.
-    pub fn target(&self, id: ShortId) -> Option<&TargetName> {
+    pub fn target(&self, id: TargetId) -> Option<&TargetName> {
         self.targets.get(&id)
     }
 
     /// Returns the service with a short identity, if it has targets.
-    pub fn service(&self, id: ShortId) -> Option<&QualifiedName> {
+    pub fn service(&self, id: ServiceId) -> Option<&QualifiedName> {
         self.services.get(&id)
     }
 }
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -2,7 +2,7 @@
 
 use std::{io, time::Duration};
 
-use async_std::{io::ReadExt as _, task};
+use async_std::io::ReadExt as _;
 use futures::future::{Either, select};
 use http_edge::client::{Failure, Progress, SendError};
 use http_types::Response;
@@ -29,6 +29,8 @@
     Ended(ItemEnd),
     /// The dispatcher decides what follows.
     Next(Admission),
+    /// The item made room for an online request.
+    Yielded,
     /// The dispatcher has given the item up for now.
     Refused(Duration),
 }
@@ -39,22 +41,41 @@
     Interrupted(Option<Directive>),
 }
 
-/// Runs an item to its end; `on_placed` is called at its first dispatch. Dropping the future stops the item at once.
-///
-/// The output that has arrived is kept over interruptions, and other targets continue after its last event.
-pub async fn run(cx: &Shared, call: &Call, mut on_placed: impl FnMut()) -> ItemEnd {
-    let mut output = EventData::default();
-    loop {
-        let pause = match run_admitted(cx, call, &mut output, &mut on_placed).await {
-            Attempt::Ended(end) => return end,
-            Attempt::Next(_) => MIN_PAUSE,
-            Attempt::Refused(retry_after) => retry_after,
-        };
-        task::sleep(pause.clamp(MIN_PAUSE, MAX_PAUSE)).await;
-        if call.time_left(cx.clock.now()).is_zero() {
-            return ItemEnd::Interrupted;
+/// How a run of an item ended, with what is kept for the next one.
+#[derive(Debug)]
+pub struct Ended {
+    /// How the run ended.
+    pub end: ItemEnd,
+    /// The output that has arrived; another target continues after its last event.
+    pub output: EventData,
+    /// How long the item was on a target.
+    pub ran_for: Duration,
+    /// How long the item should wait before its next run.
+    pub pause: Duration,
+}
+
+/// Runs an item until it ends or is interrupted; `on_placed` is called at its first dispatch. Dropping the future stops the
+/// item at once.
+pub async fn run(
+    cx: &Shared,
+    call: &Call,
+    mut output: EventData,
+    mut on_placed: impl FnMut(),
+) -> Ended {
+    let mut placed_at = None;
+    let mut note_placed = || {
+        placed_at.get_or_insert(cx.clock.now());
+        on_placed();
+    };
+    let (end, pause) = match run_admitted(cx, call, &mut output, &mut note_placed).await {
+        Attempt::Ended(end) => (end, Duration::ZERO),
+        Attempt::Next(_) | Attempt::Yielded => (ItemEnd::Interrupted, Duration::ZERO),
+        Attempt::Refused(retry_after) => {
+            (ItemEnd::Interrupted, retry_after.clamp(MIN_PAUSE, MAX_PAUSE))
         }
-    }
+    };
+    let ran_for = placed_at.map_or(Duration::ZERO, |it| cx.clock.now().since(it));
+    Ended { end, output, ran_for, pause }
 }
 
 async fn run_admitted(
@@ -72,6 +93,8 @@
                 on_placed();
                 debug!(cx.log, "item placed"; "request" => &call.request_id, "target" => %target);
                 match run_attempt(cx, call, admission, &target, output).await {
+                    // Which item continues is decided anew, since another one may be more urgent.
+                    Attempt::Yielded => return Attempt::Ended(ItemEnd::Interrupted),
                     Attempt::Next(held) => admission = held,
                     ended => return ended,
                 }
@@ -140,7 +163,7 @@
             attempt::observe_request(cx, call, started);
             debug!(cx.log, "item completed"; "request" => &call.request_id, "target" => %target);
             admission.completed(Some(output.events()));
-            Attempt::Ended(ItemEnd::Completed { text: output.take_text() })
+            Attempt::Ended(ItemEnd::Completed { text: output.text().to_owned() })
         }
         Read::Broken(e) => {
             output.discard_partial();
@@ -187,7 +210,7 @@
     match directive {
         Some(Directive::Yield) => {
             admission.yielded();
-            Attempt::Next(admission)
+            Attempt::Yielded
         }
         // A refusal follows, because the attempt is stopped for good.
         Some(Directive::Cancel | Directive::Dispatch { .. }) => Attempt::Next(admission),
--- a/crates/borageshed/src/job_work/lease.rs
+++ b/crates/borageshed/src/job_work/lease.rs
@@ -26,7 +26,7 @@
 
 /// Keeps a lease until the daemon drains.
 pub async fn run(cx: Arc<Shared>, events: async_channel::Sender<LeaseEvent>) {
-    while !cx.draining.is_set() {
+    while !cx.draining.is_set() && !cx.retiring.is_set() {
         let lease = match cx.store.lease_grant(TTL).await {
             Ok(lease) => lease,
             Err(e) => {
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -13,6 +13,7 @@
     ItemEnd, JobId, JobRecord, JobRun, OpenJob, claim,
     key::{CLAIM_PREFIX, OPEN_PREFIX},
     model,
+    order::{Candidate, RunTimes},
 };
 use kv_store::{Committed, LeaseId, Revision, WatchEvent};
 use policy::dispatch::Class;
@@ -22,13 +23,13 @@
 use super::{item, lease::LeaseEvent};
 use crate::{
     clock,
-    online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS},
+    online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS, event_data::EventData},
     shared::Shared,
 };
 
 /// How often claims, results and late items are looked at besides events.
 const TICK: Duration = Duration::from_millis(100);
-/// Items that wait in the dispatcher at once; those behind them keep the order of their jobs' due times.
+/// Items that wait in the dispatcher at once; which of the others is the most urgent is decided when one is placed.
 const MAX_WAITING: usize = 4;
 /// Items that run or wait at once, which bounds the memory for their output.
 const MAX_ITEMS: usize = 96;
@@ -49,7 +50,7 @@
     Claimed { id: JobId, lease: LeaseId, loaded: Option<Box<JobRun>> },
     NotClaimed { id: JobId },
     ItemPlaced,
-    ItemEnded { id: JobId, index: usize, end: ItemEnd },
+    ItemEnded { id: JobId, index: usize, ended: Box<item::Ended> },
     Committed { id: JobId, outcome: kv_store::Result<Committed> },
     Tick,
 }
@@ -73,14 +74,24 @@
     claim_at: BTreeMap<JobId, Timestamp>,
     own: HashMap<JobId, OwnJob>,
     waiting: usize,
+    run_times: RunTimes,
 }
 
 struct OwnJob {
     run: JobRun,
     items: HashMap<usize, AbortHandle>,
+    /// The items that were begun and wait to be continued.
+    begun: HashMap<usize, Begun>,
     commit_after: Timestamp,
 }
 
+#[derive(Default)]
+struct Begun {
+    output: EventData,
+    ran_for: Duration,
+    not_before: Timestamp,
+}
+
 impl Drop for OwnJob {
     fn drop(&mut self) {
         self.items.values().for_each(AbortHandle::abort);
@@ -107,8 +118,9 @@
         claim_at: BTreeMap::new(),
         own: HashMap::new(),
         waiting: 0,
+        run_times: RunTimes::default(),
     };
-    while !worker.cx.draining.is_set() {
+    while !worker.cx.draining.is_set() && !worker.cx.retiring.is_set() {
         let tick = Box::pin(task::sleep(TICK));
         let event = match select(Box::pin(inbox.recv()), tick).await {
             Either::Left((Ok(event), _)) => event,
@@ -121,6 +133,14 @@
         }
         worker.act();
     }
+    // Whoever takes the jobs over needs not wait for the lease to lapse.
+    let cx = Arc::clone(&worker.cx);
+    if let Some(lease) = worker.lease
+        && let Err(e) = cx.store.lease_revoke(lease).await
+    {
+        debug!(cx.log, "lease not ended; it lapses by itself"; "error" => %e);
+    }
+    cx.claims_ended.set();
 }
 
 impl Worker {
@@ -140,12 +160,7 @@
                 }
             }
             Event::ItemPlaced => self.waiting = self.waiting.saturating_sub(1),
-            Event::ItemEnded { id, index, end } => {
-                if let Some(job) = self.own.get_mut(&id) {
-                    job.items.remove(&index);
-                    job.run.on_end(index, end, clock::unix_millis());
-                }
-            }
+            Event::ItemEnded { id, index, ended } => self.on_item_ended(&id, index, *ended),
             Event::Committed { id, outcome } => self.on_committed(&id, outcome),
             Event::Tick => {}
         }
@@ -206,7 +221,7 @@
         for job in self.own.values_mut() {
             job.run.give_up_late(unix_ms);
         }
-        self.start_items(unix_ms);
+        self.start_items(now, unix_ms);
         self.commit(now, unix_ms);
     }
 
@@ -243,7 +258,10 @@
             "job" => id.as_str(), "items" => run.record().total, "listed" => run.record().listed.len()
         );
         let commit_after = self.cx.clock.now();
-        self.own.insert(id, OwnJob { run: *run, items: HashMap::new(), commit_after });
+        self.own.insert(
+            id,
+            OwnJob { run: *run, items: HashMap::new(), begun: HashMap::new(), commit_after },
+        );
     }
 
     fn drop_job(&mut self, id: &JobId, reason: &'static str) {
@@ -252,32 +270,77 @@
         }
     }
 
-    /// Starts items in the order of their jobs' due times, as far as the dispatcher takes them.
-    fn start_items(&mut self, unix_ms: u64) {
+    fn on_item_ended(&mut self, id: &JobId, index: usize, ended: item::Ended) {
+        let Some(job) = self.own.get_mut(id) else { return };
+        job.items.remove(&index);
+        let ran_for = ended.ran_for + job.begun.remove(&index).unwrap_or_default().ran_for;
+        match ended.end {
+            ItemEnd::Completed { .. } => {
+                let (tokens, events) = (job.run.item(index).tokens, ended.output.events());
+                self.run_times.record(tokens, events, ran_for);
+            }
+            ItemEnd::Interrupted => {
+                let not_before = self.cx.clock.now() + ended.pause;
+                job.begun.insert(index, Begun { output: ended.output, ran_for, not_before });
+            }
+            ItemEnd::Impossible | ItemEnd::Failed => {}
+        }
+        job.run.on_end(index, ended.end, clock::unix_millis());
+    }
+
+    /// Starts the most urgent items, as far as the dispatcher takes them.
+    fn start_items(&mut self, now: Timestamp, unix_ms: u64) {
         loop {
             let running: usize = self.own.values().map(|it| it.items.len()).sum();
             if self.waiting >= MAX_WAITING || running >= MAX_ITEMS {
                 return;
             }
-            let with_items = self.own.values_mut().filter(|it| it.run.has_waiting());
-            let Some(job) = with_items.min_by_key(|it| it.run.record().due_ms) else { return };
-            let Some(index) = job.run.take_item() else { return };
-            let id = job.run.id().clone();
-            let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
-            let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
-            let placed_tx = events.clone();
-            let (run, handle) = abortable(async move {
-                let mut placed = Placed { events: placed_tx, is_told: false };
-                let end = item::run(&cx, &call, || placed.tell()).await;
-                drop(placed);
-                let _ = events.try_send(Event::ItemEnded { id, index, end });
-            });
-            job.items.insert(index, handle);
-            self.waiting += 1;
-            task::spawn(run);
+            let Some((id, index)) = self.most_urgent(now, unix_ms) else { return };
+            self.start_item(&id, index, unix_ms);
         }
     }
 
+    fn most_urgent(&self, now: Timestamp, unix_ms: u64) -> Option<(JobId, usize)> {
+        let waiting = self.own.values().flat_map(|job| {
+            let ready = job
+                .run
+                .waiting()
+                .filter(|it| job.begun.get(it).is_none_or(|begun| begun.not_before <= now));
+            ready.map(move |index| (job, index))
+        });
+        let place = |(job, index): &(&OwnJob, usize)| {
+            let candidate = Candidate {
+                due_ms: job.run.record().due_ms,
+                tokens: job.run.item(*index).tokens,
+                events: job.begun.get(index).map_or(0, |it| it.output.events()),
+            };
+            self.run_times.place(&candidate, unix_ms)
+        };
+        waiting.min_by_key(place).map(|(job, index)| (job.run.id().clone(), index))
+    }
+
+    fn start_item(&mut self, id: &JobId, index: usize, unix_ms: u64) {
+        let Some(job) = self.own.get_mut(id) else { return };
+        job.run.take_item(index);
+        let output = match job.begun.get_mut(&index) {
+            Some(begun) => std::mem::take(&mut begun.output),
+            None => EventData::default(),
+        };
+        let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
+        let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
+        let placed_tx = events.clone();
+        let (run, handle) = abortable(async move {
+            let mut placed = Placed { events: placed_tx, is_told: false };
+            let ended = item::run(&cx, &call, output, || placed.tell()).await;
+            drop(placed);
+            // The worker may have ended.
+            let _ = events.try_send(Event::ItemEnded { id, index, ended: Box::new(ended) });
+        });
+        job.items.insert(index, handle);
+        self.waiting += 1;
+        task::spawn(run);
+    }
+
     fn commit(&mut self, now: Timestamp, unix_ms: u64) {
         for job in self.own.values_mut().filter(|it| it.commit_after <= now) {
             let Some(transaction) = job.run.commit(unix_ms) else { continue };
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`daemon`]: assembles the parts, runs them and drains.
 //! - [`settings`], [`logging`], [`clock`], [`metrics`], [`status`]: what surrounds the work.
 //! - [`summary`]: totals in the log from time to time.
+//! - [`retirement`]: empties an instance that is taken away.
 //! - [`shared`]: the context that every task gets.
 //! - [`control`]: the control thread, which takes every decision about a request.
 //! - [`effects`]: performs what the control thread asks for.
@@ -43,6 +44,7 @@
 pub mod online;
 pub mod operator;
 pub mod peers;
+pub mod retirement;
 pub mod settings;
 pub mod shared;
 pub mod silence;
--- a/crates/borageshed/src/membership.rs
+++ b/crates/borageshed/src/membership.rs
@@ -10,7 +10,7 @@
 use fleet::{MEMBERS_PREFIX, MemberRecord};
 use kv_store::{Entry, Error, LeaseId, Outcome, WatchEvent};
 use slog::{debug, info, warn};
-use stdx::Name;
+use stdx::{Name, Timestamp};
 
 use crate::{
     control::ControlEvent,
@@ -23,6 +23,9 @@
 const TTL: Duration = Duration::from_secs(15);
 /// How often the lease is renewed; two renewals in a row may be lost.
 const RENEWAL: Duration = Duration::from_secs(5);
+/// How long a daemon is dialled after its record is gone: one that starts again while the service is away cannot register,
+/// and is found by those that remember it.
+const REMEMBERED: Duration = Duration::from_secs(120);
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -79,13 +82,14 @@
 /// Follows the records and tells the links which daemons there are, until the daemon ends.
 pub async fn follow(cx: Arc<Shared>, peers: Peers) {
     let mut members = BTreeMap::new();
-    publish(&cx, &peers, &members);
+    let mut remembered = Remembered::default();
+    remembered.publish(&cx, &peers, &members);
     loop {
         match cx.store.range(MEMBERS_PREFIX).await {
             Ok(listing) => {
                 cx.platform_answered();
                 members = listing.entries.iter().filter_map(|it| member(&cx, it)).collect();
-                publish(&cx, &peers, &members);
+                remembered.publish(&cx, &peers, &members);
                 let watch = cx.store.watch(MEMBERS_PREFIX, listing.revision.next());
                 while let Some(event) = watch.next().await {
                     match event {
@@ -97,7 +101,7 @@
                         }
                         WatchEvent::Reset => break,
                     }
-                    publish(&cx, &peers, &members);
+                    remembered.publish(&cx, &peers, &members);
                 }
             }
             Err(e) => {
@@ -127,24 +131,37 @@
     }
 }
 
-/// Links with the daemons of the settings and with the registered ones, which are more recent.
-fn publish(cx: &Shared, peers: &Peers, members: &BTreeMap<Name, PeerInfo>) {
-    let live: BTreeSet<Name> = members.keys().cloned().collect();
-    let runners = members.values().filter(|it| it.runs_items);
-    cx.set_item_runners(runners.map(|it| it.instance.clone()).collect());
-    let from_settings = cx.settings.peers.iter().map(|peer| {
-        let info = PeerInfo {
-            instance: peer.instance.clone(),
-            failure_domain: peer.failure_domain.clone(),
-            address: peer.address,
-            runs_items: false,
-        };
-        (peer.instance.clone(), info)
-    });
-    let mut known: BTreeMap<Name, PeerInfo> = from_settings.collect();
-    known.extend(members.iter().map(|(name, info)| (name.clone(), info.clone())));
-    known.remove(&cx.settings.instance);
-    debug!(cx.log, "registered daemons changed"; "daemons" => live.len());
-    peers.set(known.into_values().collect());
-    cx.control.send(ControlEvent::Members { live });
+/// The daemons that were registered lately.
+#[derive(Debug, Default)]
+struct Remembered {
+    daemons: BTreeMap<Name, (Timestamp, PeerInfo)>,
+}
+
+impl Remembered {
+    /// Links with the daemons of the settings and with the registered ones, which are more recent.
+    fn publish(&mut self, cx: &Shared, peers: &Peers, members: &BTreeMap<Name, PeerInfo>) {
+        let now = cx.clock.now();
+        for (name, info) in members {
+            self.daemons.insert(name.clone(), (now, info.clone()));
+        }
+        self.daemons.retain(|_, (seen, _)| now.since(*seen) < REMEMBERED);
+        let live: BTreeSet<Name> = members.keys().cloned().collect();
+        let runners = members.values().filter(|it| it.runs_items);
+        cx.set_item_runners(runners.map(|it| it.instance.clone()).collect());
+        let from_settings = cx.settings.peers.iter().map(|peer| {
+            let info = PeerInfo {
+                instance: peer.instance.clone(),
+                failure_domain: peer.failure_domain.clone(),
+                address: peer.address,
+                runs_items: false,
+            };
+            (peer.instance.clone(), info)
+        });
+        let mut known: BTreeMap<Name, PeerInfo> = from_settings.collect();
+        known.extend(self.daemons.iter().map(|(name, (_, info))| (name.clone(), info.clone())));
+        known.remove(&cx.settings.instance);
+        debug!(cx.log, "registered daemons changed"; "daemons" => live.len(), "dialled" => known.len());
+        peers.set(known.into_values().collect());
+        cx.control.send(ControlEvent::Members { live });
+    }
 }
--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -34,9 +34,9 @@
         self.events.passed()
     }
 
-    /// Takes the collected text.
-    pub fn take_text(&mut self) -> String {
-        std::mem::take(&mut self.text)
+    /// Returns the collected text.
+    pub fn text(&self) -> &str {
+        &self.text
     }
 
     fn push_event(&mut self, event: &str) {
--- a/crates/borageshed/src/peers.rs
+++ b/crates/borageshed/src/peers.rs
@@ -18,7 +18,7 @@
 };
 use peer::{
     ConfigChunk, ConfigFetch, Heartbeat, Hub, HubConfig, JobCancelled, Leaving, Message, Peer,
-    PeerEvent, PoisonVerdict, TargetLoad,
+    PeerEvent, PoisonVerdict,
 };
 use policy::{
     dispatch::{Claim, Event, Fingerprint, PeerLoad, Suspicion},
@@ -30,7 +30,7 @@
 use crate::{
     config_sync::PeerRevision,
     control::ControlEvent,
-    directory::{ShortId, TargetName},
+    directory::{ServiceId, TargetId, TargetName},
     loans,
     metrics::PeerLabels,
     shared::Shared,
@@ -316,18 +316,15 @@
     let Some(failure_domain) = peers.domain_of(from) else { return };
     let table = cx.directory.get();
     let services = |ids: &[u64]| {
-        ids.iter().filter_map(|it| table.service(ShortId(*it))).cloned().collect::<Vec<_>>()
+        ids.iter().filter_map(|it| table.service(ServiceId(*it))).cloned().collect::<Vec<_>>()
     };
     // Targets that are not known here get no requests from here either.
-    let loads = heartbeat.loads.iter().filter_map(|it| {
-        let TargetName { service, target } = table.target(ShortId(it.target))?.clone();
-        Some(PeerLoad {
-            service,
-            target,
-            online: it.online,
-            batch: it.batch,
-            suspects: it.suspects,
-        })
+    let count = |counts: &[u32], at: usize| counts.get(at).copied().unwrap_or(0);
+    let loads = heartbeat.targets.iter().enumerate().filter_map(|(at, id)| {
+        let TargetName { service, target } = table.target(TargetId(*id))?.clone();
+        let suspects = heartbeat.suspects.iter().filter(|it| **it as usize == at).count() as u32;
+        let (online, batch) = (count(&heartbeat.online, at), count(&heartbeat.batch, at));
+        Some(PeerLoad { service, target, online, batch, suspects })
     });
     cx.control.send(ControlEvent::Dispatch(Event::PeerInFlight {
         peer: from.clone(),
@@ -376,17 +373,17 @@
 
 fn heartbeat_of(cx: &Shared, status: &LoadStatus) -> Heartbeat {
     let ids = |services: &[QualifiedName]| {
-        services.iter().map(|it| ShortId::of_service(it).0).collect::<Vec<_>>()
-    };
-    let load = |it: &PeerLoad| TargetLoad {
-        target: ShortId::of_target(&it.service, &it.target).0,
-        online: it.online,
-        batch: it.batch,
-        suspects: it.suspects,
+        services.iter().map(|it| ServiceId::of(it).0).collect::<Vec<_>>()
     };
+    let loads = &status.in_flight;
+    let suspects = (0_u32..).zip(loads);
+    let suspects = suspects.flat_map(|(at, it)| std::iter::repeat_n(at, it.suspects as usize));
     Heartbeat {
         revision: cx.in_force.number(),
-        loads: status.in_flight.iter().map(load).collect(),
+        targets: loads.iter().map(|it| TargetId::of(&it.service, &it.target).0).collect(),
+        online: loads.iter().map(|it| it.online).collect(),
+        batch: loads.iter().map(|it| it.batch).collect(),
+        suspects: suspects.collect(),
         waiting: ids(&status.waiting),
         batch_waiting: ids(&status.batch_waiting),
         ..Heartbeat::default()
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -56,6 +56,10 @@
     pub batch: batch_work::Handle,
     /// Set when the daemon has begun to drain.
     pub draining: Signal,
+    /// Set when the instance is to be emptied.
+    pub retiring: Signal,
+    /// Set when the instance has given up its claims on jobs and makes no others.
+    pub claims_ended: Signal,
     /// The daemons that run batch items.
     item_runners: Mutex<BTreeSet<Name>>,
     /// The callers' connections by the key that they presented last.
@@ -103,6 +107,8 @@
             directory: Directory::default(),
             batch: batch_work::Handle::default(),
             draining: Signal::new(),
+            retiring: Signal::new(),
+            claims_ended: Signal::new(),
             item_runners: Mutex::default(),
             callers: Mutex::default(),
             platform_answered: AtomicU64::new(0),
--- a/crates/borageshedctl/src/commands/status.rs
+++ b/crates/borageshedctl/src/commands/status.rs
@@ -76,6 +76,15 @@
         let _ = writeln!(text, "{domain:<20} {daemons:>7}");
     }
     text.push('\n');
+    let instances: Vec<Value> = instances
+        .iter()
+        .map(|(id, it)| {
+            json!({
+                "id": id, "address": it.address, "failure_domain": it.failure_domain,
+                "runs_items": it.runs_items
+            })
+        })
+        .collect();
     Ok(json!({ "revision": accepted.number(), "instances": instances }))
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`model`]: what is stored about a job.
 //! - [`submission`]: the transaction that accepts a job.
 //! - [`run`]: the owner's view of a job: which item is next, and which results are to be stored.
+//! - [`order`]: which item runs next.
 //! - [`claim`]: which daemon takes a job.
 
 pub mod claim;
 pub mod key;
 pub mod model;
+pub mod order;
 pub mod run;
 pub mod submission;
 
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -43,7 +43,7 @@
     revision: Revision,
     route: Name,
     items: Vec<Item>,
-    /// The indexes of the items that wait, in order of their next run.
+    /// The indexes of the items that wait.
     waiting: VecDeque<usize>,
     failures: Vec<u32>,
     /// Results that are not stored yet.
@@ -94,14 +94,14 @@
         &self.items[index]
     }
 
-    /// Returns whether an item waits to be run.
-    pub fn has_waiting(&self) -> bool {
-        !self.waiting.is_empty()
+    /// Returns the items that wait to be run.
+    pub fn waiting(&self) -> impl Iterator<Item = usize> {
+        self.waiting.iter().copied()
     }
 
-    /// Takes the next item to run.
-    pub fn take_item(&mut self) -> Option<usize> {
-        self.waiting.pop_front()
+    /// Takes an item that waits to be run.
+    pub fn take_item(&mut self, index: usize) {
+        self.waiting.retain(|it| *it != index);
     }
 
     /// Notes how a run of an item ended.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,6 +16,5 @@
 pub use message::{
     ClosedLoan, ConfigChunk, ConfigFetch, Heartbeat, Hello, JobCancelled, Leaving, LoanGrant,
     LoanRequest, LoanReturn, Message, PoisonSuspicion, PoisonVerdict, SuspectClaim, SuspectState,
-    TargetLoad,
 };
 pub use stats::Stats;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -39,9 +39,20 @@
     /// The configuration revision in force.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Requests in flight on each target that has any.
-    #[prost(message, repeated, tag = "8")]
-    pub loads: Vec<TargetLoad>,
+    /// The short identities of the targets with requests in flight; daemons may know different lists of targets, so
+    /// positions in a list would not do. With parallel lists a target takes 6 bytes, which keeps the heartbeats of a large
+    /// domain affordable.
+    #[prost(fixed32, repeated, tag = "11")]
+    pub targets: Vec<u32>,
+    /// The online requests in flight on each of `targets`.
+    #[prost(uint32, repeated, tag = "12")]
+    pub online: Vec<u32>,
+    /// The batch requests in flight on each of `targets`.
+    #[prost(uint32, repeated, tag = "13")]
+    pub batch: Vec<u32>,
+    /// The positions in `targets` of those that run a suspect, once for each.
+    #[prost(uint32, repeated, tag = "14")]
+    pub suspects: Vec<u32>,
     /// The short identities of the services for which online requests wait.
     #[prost(fixed64, repeated, tag = "9")]
     pub waiting: Vec<u64>,
@@ -50,23 +61,6 @@
     pub batch_waiting: Vec<u64>,
 }
 
-/// A daemon's requests in flight on one target.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct TargetLoad {
-    /// The short identity of the target: daemons may know different lists of targets, so a position would not do.
-    #[prost(fixed64, tag = "1")]
-    pub target: u64,
-    /// Online requests.
-    #[prost(uint32, tag = "2")]
-    pub online: u32,
-    /// Batch requests.
-    #[prost(uint32, tag = "3")]
-    pub batch: u32,
-    /// Requests, of either class, that run as suspects.
-    #[prost(uint32, tag = "4")]
-    pub suspects: u32,
-}
-
 /// Asks a peer for tokens of an account.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LoanRequest {
--- a/crates/peer/tests/heartbeat_rate.rs
+++ b/crates/peer/tests/heartbeat_rate.rs
@@ -7,7 +7,7 @@
 };
 
 use async_std::task;
-use peer::{Heartbeat, Hub, HubConfig, Message, Peer, TargetLoad, message, schedule};
+use peer::{Heartbeat, Hub, HubConfig, Message, Peer, message, schedule};
 
 // Guards against heartbeats that exceed the control overhead per daemon in a domain of 53 instances.
 #[async_std::test]
@@ -65,9 +65,10 @@
     Heartbeat {
         sequence,
         revision: 480,
-        loads: (0..TARGETS as u64)
-            .map(|target| TargetLoad { target, online: 9, batch: 9, suspects: 0 })
-            .collect(),
+        targets: (0..TARGETS as u32).collect(),
+        online: vec![9; TARGETS],
+        batch: vec![9; TARGETS],
+        suspects: Vec::new(),
         waiting: vec![0, 1, 2],
         batch_waiting: vec![0, 1, 2],
     }
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use expect_test::expect;
-use peer::{ClosedLoan, Heartbeat, Hello, LoanRequest, Message, TargetLoad, message};
+use peer::{ClosedLoan, Heartbeat, Hello, LoanRequest, Message, message};
 
 // Guards against a change of the wire format that parts daemons of different versions during an upgrade.
 #[test]
@@ -19,12 +19,15 @@
         failure_domain: "z1".into(),
     })));
     expect![
-        "122a08011002421009070000000000000010ac02180420014a08020000000000000052080300000000000000"
+        "122e080110024a080200000000000000520803000000000000005a080700000008000000620300ac026a020400720101"
     ]
     .assert_eq(&hex(Message::Heartbeat(Heartbeat {
         sequence: 1,
         revision: 2,
-        loads: vec![TargetLoad { target: 7, online: 300, batch: 4, suspects: 1 }],
+        targets: vec![7, 8],
+        online: vec![0, 300],
+        batch: vec![4, 0],
+        suspects: vec![1],
         waiting: vec![2],
         batch_waiting: vec![3],
     })));
