--- a/crates/borageshed/src/config_sync.rs
+++ b/crates/borageshed/src/config_sync.rs
@@ -79,8 +79,8 @@
     }
     info!(cx.log, "configuration in force"; "revision" => next.number());
     cx.metrics.revision.set(next.number() as i64);
-    let withdrawn =
-        previous.as_ref().map(|it| it.keys.withdrawn_by(&next.keys)).unwrap_or_default();
+    let cut = previous.as_ref().filter(|_| cx.settings.cut_withdrawn);
+    let withdrawn = cut.map(|it| it.keys.withdrawn_by(&next.keys)).unwrap_or_default();
     cx.control.send(ControlEvent::Document {
         document: Arc::clone(next.document()),
         withdrawn: withdrawn
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -21,6 +21,10 @@
         /// Who declares accounts, services and routes, and which targets there are.
         #[serde(default)]
         pub source: FleetSource,
+        /// Whether running requests and connections of a key are cut when it is withdrawn; otherwise they end by
+        /// themselves, and only new requests are refused.
+        #[serde(default = "default_cut_withdrawn")]
+        pub cut_withdrawn: bool,
         /// How far an account may go above its rate and burst, over all instances together.
         #[serde(default)]
         pub rate_allowance: RateAllowance,
@@ -229,6 +233,10 @@
     if value > 0 { Ok(()) } else { Err(source.error_at(&path, "must be at least 1")) }
 }
 
+fn default_cut_withdrawn() -> bool {
+    true
+}
+
 fn default_call_timeout_ms() -> u64 {
     const DEFAULT_CALL_TIMEOUT_MS: u64 = 1_000;
     DEFAULT_CALL_TIMEOUT_MS
