--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -17,6 +17,8 @@
 
 /// The bytes of results in one answer, which callers take up to a megabyte of.
 const MAX_RESULT_BYTES: usize = 900_000;
+/// The longest time that a caller is kept waiting for another result.
+const MAX_WAIT: Duration = Duration::from_millis(900);
 /// How often the end of a job is tried that others change at the same time.
 const MAX_CANCEL_TRIES: u32 = 8;
 /// When a caller should come back that found the store away.
@@ -106,14 +108,21 @@
     };
     let id = JobId::parse(id).ok_or_else(no_job)?;
     match call {
-        JobCall::Results { after, .. } => results(cx, identity, &id, after).await,
+        JobCall::Results { after, wait, .. } => results(cx, identity, &id, after, wait).await,
         JobCall::Body { item, .. } => body(cx, identity, &id, &item).await,
         JobCall::End { .. } => end(cx, identity, &id).await,
     }
 }
 
-async fn results(cx: &Shared, identity: &Identity, id: &JobId, after: usize) -> Result<Response> {
+async fn results(
+    cx: &Shared,
+    identity: &Identity,
+    id: &JobId,
+    after: usize,
+    wait: Duration,
+) -> Result<Response> {
     let known = known(cx, identity, id).await?;
+    cx.known_jobs.wait_beyond(id, after, wait.min(MAX_WAIT)).await;
     let mut results: Vec<ItemResult> = Vec::new();
     let mut bytes = 0;
     let last = after.checked_sub(1).map(|it| id.result(it));
@@ -125,6 +134,7 @@
         }
         results.push(serde_json::from_slice(&entry.value).map_err(|e| damaged(&entry.key, &e))?);
     }
+    cx.known_jobs.note_listed(id, after + results.len());
     let mut res = Response::new(StatusCode::Ok);
     res.set_body(wire::results(known.total, after, &results));
     res.insert_header("content-type", "application/json");
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -127,7 +127,7 @@
         _ if !cx.settings.batch.enabled => {}
         FleetSource::Document => batch_work::start(&cx, peers.clone()),
         FleetSource::Operator => {
-            job_work::start(&cx);
+            job_work::start(&cx, peers.clone());
             task::spawn(retirement::run(Arc::clone(&cx)));
         }
     }
--- a/crates/borageshed/src/job_work/mod.rs
+++ b/crates/borageshed/src/job_work/mod.rs
@@ -12,11 +12,11 @@
 
 use async_std::task;
 
-use crate::shared::Shared;
+use crate::{peers::Peers, shared::Shared};
 
 /// Starts the work of a daemon.
-pub fn start(cx: &Arc<Shared>) {
+pub fn start(cx: &Arc<Shared>, peers: Peers) {
     let (lease_tx, lease_rx) = async_channel::unbounded();
     task::spawn(lease::run(Arc::clone(cx), lease_tx));
-    task::spawn(worker::run(Arc::clone(cx), lease_rx));
+    task::spawn(worker::run(Arc::clone(cx), peers, lease_rx));
 }
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -24,6 +24,7 @@
 use crate::{
     clock,
     online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS, event_data::EventData},
+    peers::Peers,
     shared::Shared,
 };
 
@@ -66,6 +67,7 @@
 struct Worker {
     cx: Arc<Shared>,
     events: async_channel::Sender<Event>,
+    peers: Peers,
     lease: Option<LeaseId>,
     open: BTreeMap<JobId, OpenJob>,
     /// The jobs that somebody has claimed.
@@ -99,7 +101,7 @@
 }
 
 /// Runs until the daemon drains; claims end with the lease then.
-pub async fn run(cx: Arc<Shared>, leases: async_channel::Receiver<LeaseEvent>) {
+pub async fn run(cx: Arc<Shared>, peers: Peers, leases: async_channel::Receiver<LeaseEvent>) {
     let (events, inbox) = async_channel::unbounded();
     task::spawn(follow_index(Arc::clone(&cx), events.clone()));
     let tx = events.clone();
@@ -112,6 +114,7 @@
     let mut worker = Worker {
         cx,
         events,
+        peers,
         lease: None,
         open: BTreeMap::new(),
         claimed: BTreeMap::new(),
@@ -361,6 +364,7 @@
             Ok(Committed::Won(revision)) => {
                 job.run.on_committed(revision);
                 let (listed, total) = (job.run.record().listed.len(), job.run.record().total);
+                self.peers.broadcast_progress(id, listed);
                 info!(self.cx.log, "results stored"; "job" => id.as_str(), "listed" => listed, "items" => total);
                 if job.run.is_ended() {
                     self.own.remove(id);
--- a/crates/borageshed/src/peers.rs
+++ b/crates/borageshed/src/peers.rs
@@ -16,9 +16,10 @@
     QualifiedName,
     revision::{self, Chunks, Head},
 };
+use jobs::JobId;
 use peer::{
-    ConfigChunk, ConfigFetch, Heartbeat, Hub, HubConfig, JobCancelled, Leaving, Message, Peer,
-    PeerEvent, PoisonVerdict,
+    ConfigChunk, ConfigFetch, Heartbeat, Hub, HubConfig, JobCancelled, JobProgress, Leaving,
+    Message, Peer, PeerEvent, PoisonVerdict,
 };
 use policy::{
     dispatch::{Claim, Event, Fingerprint, PeerLoad, Suspicion},
@@ -177,6 +178,13 @@
         let _ = self.inner.hub.broadcast(&Message::JobCancelled(cancelled));
     }
 
+    /// Tells every peer how many results of a job are stored; one that misses it only reads the store more often.
+    pub fn broadcast_progress(&self, job: &JobId, listed: usize) {
+        let listed = u32::try_from(listed).unwrap_or(u32::MAX);
+        let progress = JobProgress { job: job.as_str().to_owned(), listed };
+        self.send(None, &Message::JobProgress(progress));
+    }
+
     /// Returns the cancellations that peers report.
     pub fn cancelled(&self) -> async_channel::Receiver<JobCancelled> {
         self.inner.cancelled.1.clone()
@@ -286,6 +294,11 @@
         Message::JobCancelled(cancelled) => {
             let _ = peers.inner.cancelled.0.try_send(cancelled);
         }
+        Message::JobProgress(progress) => {
+            if let Some(id) = JobId::parse(&progress.job) {
+                cx.known_jobs.note_listed(&id, progress.listed as usize);
+            }
+        }
         Message::Leaving(_) => {
             info!(cx.log, "peer is leaving"; "peer" => %from);
             cx.control.send(ControlEvent::PeerLeaving { peer: from });
--- /dev/null
+++ b/crates/borageshed/tests/operator.rs
@@ -0,0 +1,393 @@
+//! Daemons whose fleet the platform's operator declares, as separate processes before stand-ins of store and targets.
+
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
+    time::{Duration, Instant},
+};
+
+use async_std::{
+    io::{ReadExt as _, WriteExt as _},
+    net::TcpStream,
+    task,
+};
+use http_types::Method;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use test_support::{
+    http::{Call, Reply},
+    operator::{self, DRAFTS, HOST, JOBS, LOOKUPS, STREAMS},
+    platform::{Faults, Platform},
+    processes::{Process, binary},
+    target::{Behaviour, Target},
+};
+
+const KEY: &str = "key-one";
+const LIMIT: Duration = Duration::from_secs(15);
+const POLL: Duration = Duration::from_millis(20);
+
+/// An entry daemon and a daemon that runs items, with a store of their own.
+struct Site {
+    _folder: TempDir,
+    platform: Platform,
+    entry: Process,
+    worker: Process,
+    ip: Ipv4Addr,
+}
+
+impl Site {
+    async fn start(targets: &[(&str, &Target)]) -> io::Result<Self> {
+        static NEXT: AtomicU8 = AtomicU8::new(0);
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, 200 + number % 50, high, low.max(1));
+        let folder = TempDir::new()?;
+        let platform = Platform::start(([127, 0, 0, 1], 0).into()).await?;
+        operator::configure(&platform, 2, &[KEY, "key-two"]);
+        for (id, target) in targets {
+            operator::register(&platform, id, target.address());
+        }
+        operator::register_garbage(&platform, "garbage");
+        let start = |name: &str, settings: Value| {
+            let file = folder.path().join(format!("{name}.jsonc"));
+            fs::write(&file, settings.to_string())?;
+            let args = ["--settings".to_owned(), file.display().to_string()];
+            let log = folder.path().join(format!("{name}.log"));
+            Process::start(name, &binary("borageshed")?, &args, &log)
+        };
+        let settings = |name: &str, port: u16| {
+            json!({
+                "instance": name, "failure_domain": "a", "source": "operator", "cut_withdrawn": false,
+                "admin_listen": SocketAddr::from((ip, port)),
+                "peer_listen": SocketAddr::from((ip, port + 1)),
+                "platform": { "address": platform.address(), "writes_per_s": 100, "reads_per_s": 200 },
+                "log_level": "debug",
+            })
+        };
+        let mut entry = settings("entry", 8_100);
+        entry["listen"] = json!(SocketAddr::from((ip, 8_000)));
+        entry["batch"] = json!({ "enabled": false });
+        let (entry, worker) = (start("entry", entry)?, start("worker", settings("worker", 8_200))?);
+        let site = Self { _folder: folder, platform, entry, worker, ip };
+        let ready = Call::get("/readyz");
+        let admin = SocketAddr::from((ip, 8_100));
+        wait_until("the entry daemon is ready", async || {
+            ready.send(admin).await.is_ok_and(|it| it.status == 200)
+        })
+        .await?;
+        Ok(site)
+    }
+
+    fn callers(&self) -> SocketAddr {
+        SocketAddr::from((self.ip, 8_000))
+    }
+
+    async fn send(&self, call: Call) -> Reply {
+        call.header("host", HOST).send(self.callers()).await.expect("an answer")
+    }
+}
+
+async fn wait_until(what: &str, is_so: impl AsyncFn() -> bool) -> io::Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < LIMIT {
+        if is_so().await {
+            return Ok(());
+        }
+        task::sleep(POLL).await;
+    }
+    Err(io::Error::new(io::ErrorKind::TimedOut, what.to_owned()))
+}
+
+fn call(prefix: &str, id: &str) -> Call {
+    Call::post(format!("{prefix}x?y=1"), "body").key(KEY).header("x-request-id", id)
+}
+
+fn stream(events: u64, pause_ms: u64) -> Behaviour {
+    Behaviour::Stream { events, pause: Duration::from_millis(pause_ms) }
+}
+
+fn parts(reply: &Reply) -> Vec<String> {
+    reply.text().lines().filter_map(|it| it.strip_prefix("data: ")).map(str::to_owned).collect()
+}
+
+// Guards against a target that sees the caller's key, another path or no account, and against a lost signature.
+#[async_std::test]
+async fn a_request_reaches_its_target_as_it_was_sent_without_the_key() -> io::Result<()> {
+    let target = Target::start(Behaviour::Status(200)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let reply = site.send(call(LOOKUPS, "r-1")).await;
+    assert_eq!((reply.status, reply.text().as_str()), (200, "told"));
+    assert_eq!(reply.header("x-server-stamp"), Some("stamp-r-1"));
+    let asked = &target.asked()[0];
+    assert_eq!(asked.line, format!("POST {LOOKUPS}x?y=1"));
+    assert_eq!(asked.body, b"body");
+    let header = |name| asked.header(name);
+    assert_eq!(header("host"), Some(HOST));
+    assert_eq!(header("x-request-id"), Some("r-1"));
+    assert_eq!(header("authorization"), None);
+    assert_eq!(header("x-tenant"), Some(operator::ACCOUNT));
+    assert_eq!(header("x-expect-instance"), Some("t-1"));
+    let left: u64 = header("x-deadline-ms").and_then(|it| it.parse().ok()).expect("a deadline");
+    assert!((4_000..=5_000).contains(&left), "{left}");
+    Ok(())
+}
+
+// Guards against a path that is rewritten before it is routed or passed on.
+#[async_std::test]
+async fn a_path_with_dots_is_passed_on_byte_for_byte() -> io::Result<()> {
+    let target = Target::start(Behaviour::Status(200)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let mut stream = TcpStream::connect(site.callers()).await?;
+    let path = format!("{LOOKUPS}a/../%2e%2e/b//c?q=%2F..");
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\nX-Request-Id: r\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(target.asked()[0].line, format!("GET {path}"));
+    Ok(())
+}
+
+// Guards against events that are lost, repeated or joined when a stream breaks in the middle of an event.
+#[async_std::test]
+async fn a_broken_stream_continues_at_another_target_after_its_last_whole_event() -> io::Result<()>
+{
+    let target = Target::start(Behaviour::BreakAfter(3)).await?;
+    let other = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = Site::start(&[("t-1", &target), ("t-2", &other)]).await?;
+    let reply = site.send(call(STREAMS, "r-1")).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    assert_eq!(reply.header("x-server-stamp"), Some("stamp-r-1"));
+    let expected: Vec<String> = (1..=6).map(|n| format!("part {n}")).collect();
+    assert_eq!(parts(&reply), expected);
+    let asked = [target.asked(), other.asked()];
+    assert!(asked.iter().all(|it| it.len() == 1), "each target was asked once: {asked:?}");
+    let resumed = asked.iter().flatten().filter_map(|it| it.header("last-event-id"));
+    assert_eq!(resumed.collect::<Vec<_>>(), ["3"]);
+    Ok(())
+}
+
+// Guards against a request that runs twice although it must not, and against a promise that it has not run.
+#[async_std::test]
+async fn a_stream_that_may_run_once_is_not_sent_again_and_nothing_is_promised() -> io::Result<()> {
+    let target = Target::start(Behaviour::Close).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let reply = site.send(call(DRAFTS, "r-1")).await;
+    assert_eq!(reply.status, 502, "{}", reply.text());
+    assert_eq!(target.asked().len(), 1);
+    Ok(())
+}
+
+// Guards against a refusal of a target that is passed on while another one has room, and against a late refusal.
+#[async_std::test]
+async fn a_target_without_room_is_passed_by_and_without_any_the_refusal_says_when_to_return()
+-> io::Result<()> {
+    let (full, free) = (Target::start(Behaviour::Full).await?, Target::start(stream(2, 0)).await?);
+    let site = Site::start(&[("t-1", &full), ("t-2", &free)]).await?;
+    for n in 0..8 {
+        let reply = site.send(call(DRAFTS, &format!("r-{n}"))).await;
+        assert_eq!((reply.status, parts(&reply).len()), (200, 2), "{}", reply.text());
+    }
+    free.set(Behaviour::Full);
+    let start = Instant::now();
+    let reply = site.send(call(DRAFTS, "r-last")).await;
+    assert_eq!(reply.status, 503, "{}", reply.text());
+    let retry_after: f64 = reply.header("retry-after").expect("a time").parse().expect("seconds");
+    assert!(retry_after > 0.0 && start.elapsed() < Duration::from_millis(1_500));
+    Ok(())
+}
+
+// Guards against the failure of one target that reaches the caller of a request that another target can serve.
+#[async_std::test]
+async fn an_idempotent_request_that_failed_at_one_target_runs_at_another() -> io::Result<()> {
+    let (bad, good) = (
+        Target::start(Behaviour::Status(500)).await?,
+        Target::start(Behaviour::Status(200)).await?,
+    );
+    let site = Site::start(&[("t-1", &bad), ("t-2", &good)]).await?;
+    for n in 0..4 {
+        let reply = site.send(call(LOOKUPS, &format!("r-{n}"))).await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+    good.set(Behaviour::Status(500));
+    let reply = site.send(call(LOOKUPS, "r-last")).await;
+    assert_eq!(reply.status, 500, "the targets' own failure is delivered");
+    assert_eq!(reply.header("x-server-stamp"), Some("stamp-r-last"));
+    Ok(())
+}
+
+// Guards against a withdrawn key that cuts a running stream although the users let it end, or that goes on working.
+#[async_std::test]
+async fn a_withdrawn_key_is_refused_and_lets_running_streams_end() -> io::Result<()> {
+    let target = Target::start(stream(10, 60)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let asks = async { site.send(call(STREAMS, "r-1")).await };
+    let withdraws = async {
+        while target.asked().is_empty() {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        operator::configure(&site.platform, 5, &["key-two"]);
+    };
+    let (reply, ()) = futures::future::join(asks, withdraws).await;
+    assert_eq!(parts(&reply).len(), 10, "{}", reply.text());
+    let refused = async || site.send(call(LOOKUPS, "r-2")).await.status == 401;
+    wait_until("the key is refused", refused).await?;
+    let two = call(LOOKUPS, "r-3").header("authorization", "Bearer key-two");
+    target.set(Behaviour::Status(200));
+    assert_eq!(site.send(two).await.status, 200);
+    Ok(())
+}
+
+// Guards against a configuration change that is lost when the store drops its history along with the watches.
+#[async_std::test]
+async fn a_change_made_while_watches_hear_nothing_comes_into_force() -> io::Result<()> {
+    let target = Target::start(Behaviour::Status(200)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    site.platform
+        .set_faults(&Faults { refuse_with: Some(503), ..Faults::default() })
+        .expect("valid");
+    operator::configure(&site.platform, 9, &["key-three"]);
+    let revision = site.platform.with_kv(|kv| kv.revision());
+    let dropped = Faults {
+        compact_to: Some(revision + 1),
+        break_watches: Some(true),
+        refuse_with: Some(0),
+        ..Faults::default()
+    };
+    site.platform.set_faults(&dropped).expect("valid");
+    let three = async || {
+        let call = call(LOOKUPS, "r").header("authorization", "Bearer key-three");
+        site.send(call).await.status == 200
+    };
+    wait_until("the new key works", three).await
+}
+
+// Guards against a hang-up that ends the daemon, and against a stop that cuts a stream.
+#[async_std::test]
+async fn a_hang_up_changes_nothing_and_a_stop_lets_streams_end() -> io::Result<()> {
+    let target = Target::start(stream(12, 50)).await?;
+    let mut site = Site::start(&[("t-1", &target)]).await?;
+    let pid = nix::unistd::Pid::from_raw(site.entry.id() as i32);
+    nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGHUP).expect("own process");
+    let asks = async { site.send(call(STREAMS, "r-1")).await };
+    let stops = async {
+        while target.asked().is_empty() {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        site.entry.terminate();
+    };
+    let (reply, ()) = futures::future::join(asks, stops).await;
+    assert_eq!(parts(&reply).len(), 12, "{}", reply.text());
+    let status = site.entry.wait(LIMIT).expect("the daemon ends");
+    assert!(status.success(), "{status}");
+    Ok(())
+}
+
+// Guards against a job that is accepted twice, loses an item or a body, or whose positions change.
+#[async_std::test]
+async fn a_job_is_accepted_once_and_its_results_stay_where_they_were_read() -> io::Result<()> {
+    let target = Target::start(stream(5, 5)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let submit = || Call::post(JOBS, operator::job(&["i-1", "i-2", "i-3"])).key(KEY);
+    for _ in 0..2 {
+        let reply = site.send(submit().header("x-request-id", "job-1")).await;
+        assert_eq!(reply.status, 202, "{}", reply.text());
+    }
+    let read = async |after| {
+        let path = operator::results_path("job-1", after);
+        site.send(Call::get(path).key("key-two")).await.json()
+    };
+    let body = site.send(Call::get(operator::body_path("job-1", "i-2")).key(KEY)).await;
+    assert_eq!((body.status, body.text().as_str()), (200, "a"));
+    wait_until("every item has a result", async || read(0).await["next"] == 3).await?;
+    let whole = read(0).await;
+    assert_eq!(whole["total"], 3);
+    let text: Vec<String> = (1..=5).map(|n| format!("part {n}")).collect();
+    for result in whole["results"].as_array().expect("results") {
+        assert_eq!(result["text"], text.join("\n"), "{result}");
+    }
+    assert_eq!(read(1).await["results"][0], whole["results"][1]);
+    let runs = target.asked().len();
+    assert_eq!(runs, 3, "each item ran once");
+    Ok(())
+}
+
+// Guards against items that run after their job was ended, and against an end that fails when it is repeated.
+#[async_std::test]
+async fn an_ended_job_stops_and_its_end_can_be_repeated() -> io::Result<()> {
+    let target = Target::start(stream(100, 100)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
+    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    wait_until("the item runs", async || !target.asked().is_empty()).await?;
+    let path = operator::results_path("job-1", 0);
+    let path = path.split('?').next().expect("a path");
+    for _ in 0..2 {
+        let end = Call::get(path).method(Method::Delete).key(KEY);
+        assert_eq!(site.send(end).await.status, 200);
+    }
+    task::sleep(Duration::from_secs(1)).await;
+    assert_eq!(target.asked().len(), 1);
+    let unknown = Call::get(operator::results_path("job-2", 0)).key(KEY);
+    assert_eq!(site.send(unknown).await.status, 404);
+    Ok(())
+}
+
+// Guards against a refusal of a job that was stored, and against a job that is stored although it was refused.
+#[async_std::test]
+async fn a_job_is_refused_only_if_nothing_was_stored() -> io::Result<()> {
+    let target = Target::start(stream(2, 0)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let submit =
+        |id: &str| Call::post(JOBS, operator::job(&["i-1"])).key(KEY).header("x-request-id", id);
+    let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
+    faults(Faults { refuse_with: Some(503), ..Faults::default() });
+    assert_eq!(site.send(submit("job-1")).await.status, 503);
+    faults(Faults { refuse_with: Some(0), lose_answers: Some(1), ..Faults::default() });
+    assert_eq!(site.send(submit("job-2")).await.status, 202);
+    let unknown = Call::get(operator::results_path("job-1", 0)).key(KEY);
+    assert_eq!(site.send(unknown).await.status, 404);
+    let large: Vec<String> = (0..150).map(|n| format!("i-{n}")).collect();
+    let large: Vec<&str> = large.iter().map(String::as_str).collect();
+    let large = Call::post(JOBS, operator::job(&large)).key(KEY).header("x-request-id", "job-3");
+    assert_eq!(site.send(large).await.status, 429, "more tokens than may wait");
+    Ok(())
+}
+
+// Guards against a job that waits for a daemon that is gone.
+#[async_std::test]
+async fn a_job_of_a_killed_daemon_is_taken_over_by_the_next_run() -> io::Result<()> {
+    let target = Target::start(stream(40, 50)).await?;
+    let mut site = Site::start(&[("t-1", &target)]).await?;
+    let submit = Call::post(JOBS, operator::job(&["i-1", "i-2"])).key(KEY);
+    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    wait_until("items run", async || target.asked().len() == 2).await?;
+    site.worker.crash();
+    target.set(stream(40, 1));
+    let file = site._folder.path().join("worker.jsonc");
+    let args = ["--settings".to_owned(), file.display().to_string()];
+    let log = site._folder.path().join("worker-2.log");
+    site.worker = Process::start("worker", &binary("borageshed")?, &args, &log)?;
+    let read = async || {
+        let path = operator::results_path("job-1", 0);
+        site.send(Call::get(path).key(KEY)).await.json()["next"] == 2
+    };
+    wait_until("the job is finished", read).await
+}
+
+// Guards against an instance that is taken away while it holds work, and against an order without an answer.
+#[async_std::test]
+async fn an_instance_that_is_to_be_emptied_gives_up_its_work_and_says_so() -> io::Result<()> {
+    let target = Target::start(stream(200, 50)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
+    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    wait_until("the item runs", async || !target.asked().is_empty()).await?;
+    operator::retire(&site.platform, "worker");
+    let told = async || operator::retirement(&site.platform, "worker");
+    wait_until("the order is carried out", async || told().await.as_deref() == Some("completed"))
+        .await
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,7 +14,8 @@
 
 pub use hub::{DownReason, Hub, HubConfig, Peer, PeerEvent, SendError};
 pub use message::{
-    ClosedLoan, ConfigChunk, ConfigFetch, Heartbeat, Hello, JobCancelled, Leaving, LoanGrant,
-    LoanRequest, LoanReturn, Message, PoisonSuspicion, PoisonVerdict, SuspectClaim, SuspectState,
+    ClosedLoan, ConfigChunk, ConfigFetch, Heartbeat, Hello, JobCancelled, JobProgress, Leaving,
+    LoanGrant, LoanRequest, LoanReturn, Message, PoisonSuspicion, PoisonVerdict, SuspectClaim,
+    SuspectState,
 };
 pub use stats::Stats;
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -213,6 +213,17 @@
     pub job: String,
 }
 
+/// Tells how many results of a batch job are stored.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct JobProgress {
+    /// The id of the job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// The number of results.
+    #[prost(uint32, tag = "2")]
+    pub listed: u32,
+}
+
 /// Tells that the sender shuts down and takes no new work.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Leaving {}
@@ -256,11 +267,14 @@
     /// Keeps other suspects away.
     #[prost(message, tag = "12")]
     SuspectClaim(SuspectClaim),
+    /// Tells of new results.
+    #[prost(message, tag = "13")]
+    JobProgress(JobProgress),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
-    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     message: Option<Message>,
 }
 
--- a/crates/test-support/src/http.rs
+++ b/crates/test-support/src/http.rs
@@ -76,6 +76,13 @@
         self
     }
 
+    /// Replaces the method.
+    #[must_use]
+    pub fn method(mut self, method: Method) -> Self {
+        self.method = method;
+        self
+    }
+
     /// Makes the call and reads the whole answer.
     ///
     /// # Errors
@@ -102,7 +109,10 @@
     }
 
     fn request(&self, address: SocketAddr) -> Result<Request> {
-        let url = Url::parse(&format!("http://{address}{}", self.path))
+        // The library writes the host of the URL into the head.
+        let host = self.headers.iter().find(|(name, _)| name == "host").map(|(_, value)| value);
+        let host = host.cloned().unwrap_or_else(|| address.to_string());
+        let url = Url::parse(&format!("http://{host}{}", self.path))
             .map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, e))?;
         let mut req = Request::new(self.method, url);
         if !self.body.is_empty() {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -17,4 +17,4 @@
 pub mod plain;
 pub mod processes;
 
-pub use platform_stand_in::{kv, server as platform};
+pub use platform_stand_in::{kv, operator, server as platform, target};
