Test acceptance, results, order and claims of jobs

Guards: partial acceptance, positions that change, items lost between parts, items given up too soon or never, and the domino of due times under overload.

--- /dev/null
+++ b/crates/jobs/tests/order.rs
@@ -0,0 +1,106 @@
+//! The order of items under more load than the targets can finish in time.
+
+use std::time::Duration;
+
+use jobs::{
+    JobId, claim,
+    order::{Candidate, RunTimes},
+};
+use stdx::Name;
+
+const RUN_MS: u64 = 5_000;
+const DUE_MS: u64 = 18_000;
+const TOKENS: u64 = 2_000;
+const EVENTS: u64 = 260;
+const SLOTS: usize = 10;
+const STEP_MS: u64 = 100;
+
+#[derive(Debug, Clone)]
+struct Sim {
+    arrived_ms: u64,
+    ran_ms: u64,
+    finished_ms: Option<u64>,
+}
+
+/// Plays a day on which half as many items again arrive as the slots can run, and returns the share that is in time.
+fn in_time(order: impl Fn(&Sim, u64) -> (u64, u64)) -> f64 {
+    let mut items: Vec<Sim> = Vec::new();
+    for now in (0..120_000).step_by(STEP_MS as usize) {
+        // Three items a second against ten slots of five seconds.
+        if now < 60_000 && now % 333 < STEP_MS {
+            items.push(Sim { arrived_ms: now, ran_ms: 0, finished_ms: None });
+        }
+        let mut open: Vec<usize> =
+            (0..items.len()).filter(|it| items[*it].finished_ms.is_none()).collect();
+        open.sort_by_key(|it| order(&items[*it], now));
+        for &at in open.iter().take(SLOTS) {
+            items[at].ran_ms += STEP_MS;
+            if items[at].ran_ms >= RUN_MS {
+                items[at].finished_ms = Some(now);
+            }
+        }
+    }
+    let good =
+        items.iter().filter(|it| it.finished_ms.is_some_and(|at| at <= it.arrived_ms + DUE_MS));
+    good.count() as f64 / items.len() as f64
+}
+
+// Guards against overload in which nearly every item is finished just after it is due.
+#[test]
+fn under_overload_more_items_are_in_time_than_in_the_order_of_due_times() {
+    let mut times = RunTimes::default();
+    for _ in 0..100 {
+        times.record(TOKENS, EVENTS, Duration::from_millis(RUN_MS));
+    }
+    let by_due = in_time(|it, _| (0, it.arrived_ms));
+    let by_place = in_time(|it, now| {
+        let candidate = Candidate {
+            due_ms: it.arrived_ms + DUE_MS,
+            tokens: TOKENS,
+            events: EVENTS * it.ran_ms / RUN_MS,
+        };
+        let place = times.place(&candidate, now);
+        (place_rank(&place), it.arrived_ms)
+    });
+    // The slots can run two thirds of the items.
+    assert!(by_place > 0.55, "{by_place:.2} in time");
+    assert!(by_place > by_due + 0.15, "{by_place:.2} in time against {by_due:.2}");
+}
+
+/// Places are compared as they are; their text puts the class first.
+fn place_rank(place: &jobs::order::Place) -> u64 {
+    let text = format!("{place:?}");
+    u64::from(text.contains("InTime")) + 2 * u64::from(text.contains("Late"))
+}
+
+// Guards against an estimate that stays at its first value.
+#[test]
+fn the_time_left_follows_finished_items_and_the_events_that_arrived() {
+    let mut times = RunTimes::default();
+    for _ in 0..100 {
+        times.record(TOKENS, EVENTS, Duration::from_secs(8));
+    }
+    let left =
+        |events| times.left(&Candidate { due_ms: 0, tokens: TOKENS, events }).as_secs_f64().round();
+    assert_eq!((left(0), left(EVENTS / 2)), (8.0, 4.0));
+    assert!(left(10 * EVENTS) < 1.0, "an item longer than others is about to end");
+}
+
+// Guards against several daemons that claim a job at once, and against a job that no daemon claims.
+#[test]
+fn one_daemon_takes_a_job_at_once_and_the_others_in_turn() {
+    let daemons: Vec<Name> = ["a", "b", "c"].map(Name::new).to_vec();
+    let mut first = [0; 3];
+    for n in 0..300 {
+        let id = JobId::parse(&format!("job-{n}")).expect("valid");
+        let mut delays: Vec<Duration> =
+            daemons.iter().map(|own| claim::delay(&id, own, &daemons)).collect();
+        first[delays.iter().position(Duration::is_zero).expect("one is first")] += 1;
+        delays.sort_unstable();
+        delays.dedup();
+        assert_eq!(delays.len(), 3, "each has a turn of its own");
+    }
+    assert!(first.iter().all(|it| *it > 60), "jobs are spread: {first:?}");
+    let id = JobId::parse("job").expect("valid");
+    assert_eq!(claim::delay(&id, &daemons[0], []), Duration::ZERO, "alone it waits for nobody");
+}
--- /dev/null
+++ b/crates/jobs/tests/run.rs
@@ -0,0 +1,94 @@
+//! The owner's view of a job.
+
+mod common;
+
+use common::{RECEIVED_MS, item, run};
+use jobs::{ItemEnd, ItemResult, ItemState};
+use kv_store::{Revision, Transaction};
+
+fn done(text: &str) -> ItemEnd {
+    ItemEnd::Completed { text: text.to_owned() }
+}
+
+/// Returns the results that a transaction stores, with their positions.
+fn results(transaction: &Transaction) -> Vec<(String, ItemResult)> {
+    let results = transaction.writes.iter().filter(|it| it.key.contains("/results/"));
+    let read = |it: &kv_store::transaction::Write| {
+        (it.key.to_string(), serde_json::from_slice(&it.value).expect("a result"))
+    };
+    results.map(read).collect()
+}
+
+// Guards against a result whose position changes, and against a record that names results that are not stored.
+#[test]
+fn results_take_positions_in_the_order_of_their_end() {
+    let mut run = run(vec![item("a", 0), item("b", 0), item("c", 0)]);
+    for index in 0..3 {
+        run.take_item(index);
+    }
+    run.on_end(2, done("third"), RECEIVED_MS);
+    run.on_end(0, done("first"), RECEIVED_MS);
+    let transaction = run.commit(RECEIVED_MS).expect("two results");
+    assert_eq!(transaction.expected[0].revision, Revision(5));
+    let stored = results(&transaction);
+    let positions: Vec<(&str, &str)> = stored.iter().map(|(key, it)| (&**key, &*it.id)).collect();
+    assert_eq!(
+        positions,
+        [("work/job/job-1/results/0000", "c"), ("work/job/job-1/results/0001", "a")]
+    );
+    assert_eq!(run.commit(RECEIVED_MS), None, "one transaction at a time");
+    run.on_committed(Revision(9));
+    run.on_end(1, done("second"), RECEIVED_MS);
+    let last = run.commit(RECEIVED_MS).expect("the last result");
+    assert_eq!(last.expected[0].revision, Revision(9));
+    assert_eq!(results(&last)[0].0, "work/job/job-1/results/0002");
+    assert_eq!(last.removals, ["work/open/job-1".into()], "nothing is left to do");
+    run.on_committed(Revision(11));
+    assert!(run.is_ended());
+}
+
+// Guards against results that are lost when a transaction had no effect.
+#[test]
+fn results_that_were_not_stored_are_stored_again() {
+    let mut run = run(vec![item("a", 0), item("b", 0)]);
+    run.take_item(0);
+    run.on_end(0, done("first"), RECEIVED_MS);
+    let first = run.commit(RECEIVED_MS).expect("a result");
+    run.on_not_committed();
+    let again = run.commit(RECEIVED_MS).expect("the same result");
+    assert_eq!(results(&first), results(&again));
+}
+
+// Guards against an item that ends as failed too soon or is run for ever.
+#[test]
+fn an_item_fails_after_its_attempts_at_once_if_impossible_and_never_by_interruptions() {
+    let mut run = run(vec![item("a", 0), item("b", 0), item("c", 0)]);
+    let mut end = |index, end| {
+        run.take_item(index);
+        run.on_end(index, end, RECEIVED_MS);
+    };
+    for _ in 0..10 {
+        end(0, ItemEnd::Interrupted);
+    }
+    end(1, ItemEnd::Impossible);
+    end(2, ItemEnd::Failed);
+    end(2, ItemEnd::Failed);
+    assert_eq!(run.waiting().collect::<Vec<_>>(), [0]);
+    let stored = results(&run.commit(RECEIVED_MS).expect("two results"));
+    assert!(stored.iter().all(|(_, it)| it.state == ItemState::Failed && it.text.is_empty()));
+    assert_eq!(stored.iter().map(|(_, it)| &*it.id).collect::<Vec<_>>(), ["b", "c"]);
+}
+
+// Guards against items that are given up while they may still be done, and against ones that wait for ever.
+#[test]
+fn items_are_given_up_only_when_their_time_is_over() {
+    let mut run = run(vec![item("a", 0), item("b", 0)]);
+    run.take_item(0);
+    run.give_up_late(RECEIVED_MS + 59_999);
+    assert_eq!(run.waiting().count(), 1);
+    run.give_up_late(RECEIVED_MS + 60_000);
+    assert_eq!(run.waiting().count(), 0);
+    run.on_end(0, ItemEnd::Interrupted, RECEIVED_MS + 60_000);
+    let stored = results(&run.commit(RECEIVED_MS + 60_000).expect("results"));
+    assert_eq!(stored.len(), 2);
+}
