--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -20,7 +20,7 @@
     operator::{self, DRAFTS, HOST, JOBS, LOOKUPS, STREAMS},
     platform::{Faults, Platform},
     processes::{Process, binary},
-    target::{Behaviour, Target},
+    target::{Behaviour, SIGNATURE, Target},
 };
 
 const KEY: &str = "key-one";
@@ -118,7 +118,7 @@
     let site = Site::start(&[("t-1", &target)]).await?;
     let reply = site.send(call(LOOKUPS, "r-1")).await;
     assert_eq!((reply.status, reply.text().as_str()), (200, "told"));
-    assert_eq!(reply.header("x-server-stamp"), Some("stamp-r-1"));
+    assert_eq!(reply.header(SIGNATURE), Some("stamp-r-1"));
     let asked = &target.asked()[0];
     assert_eq!(asked.line, format!("POST {LOOKUPS}x?y=1"));
     assert_eq!(asked.body, b"body");
@@ -126,9 +126,9 @@
     assert_eq!(header("host"), Some(HOST));
     assert_eq!(header("x-request-id"), Some("r-1"));
     assert_eq!(header("authorization"), None);
-    assert_eq!(header("x-tenant"), Some(operator::ACCOUNT));
-    assert_eq!(header("x-expect-instance"), Some("t-1"));
-    let left: u64 = header("x-deadline-ms").and_then(|it| it.parse().ok()).expect("a deadline");
+    assert_eq!(asked.account(), Some(operator::ACCOUNT));
+    assert_eq!(asked.expected_target(), Some("t-1"));
+    let left = asked.time_left_ms().expect("a deadline");
     assert!((4_000..=5_000).contains(&left), "{left}");
     Ok(())
 }
@@ -160,7 +160,7 @@
     let site = Site::start(&[("t-1", &target), ("t-2", &other)]).await?;
     let reply = site.send(call(STREAMS, "r-1")).await;
     assert_eq!(reply.status, 200, "{}", reply.text());
-    assert_eq!(reply.header("x-server-stamp"), Some("stamp-r-1"));
+    assert_eq!(reply.header(SIGNATURE), Some("stamp-r-1"));
     let expected: Vec<String> = (1..=6).map(|n| format!("part {n}")).collect();
     assert_eq!(parts(&reply), expected);
     let asked = [target.asked(), other.asked()];
@@ -215,7 +215,7 @@
     good.set(Behaviour::Status(500));
     let reply = site.send(call(LOOKUPS, "r-last")).await;
     assert_eq!(reply.status, 500, "the targets' own failure is delivered");
-    assert_eq!(reply.header("x-server-stamp"), Some("stamp-r-last"));
+    assert_eq!(reply.header(SIGNATURE), Some("stamp-r-last"));
     Ok(())
 }
 
