Bound the log, give its lines a time, and explain a request from logs

Cause: lines had no time and no ceiling, a refusal did not say why, and a change of a target's health left no line.

--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -10,7 +10,7 @@
 use http_types::{Response, StatusCode, headers::HeaderValue};
 use platform::ingress::{self, RequestHints};
 use policy::dispatch::Class;
-use slog::debug;
+use slog::info;
 use twox_hash::XxHash64;
 
 use super::{
@@ -42,9 +42,11 @@
     let res = match run(req, hints).await {
         Ok(res) => res,
         Err(problem) => {
-            debug!(
+            info!(
                 cx.log, "request refused";
-                "request" => &request_id, "kind" => ?problem.kind(), "execution" => ?problem.execution()
+                "request" => &request_id, "kind" => ?problem.kind(), "execution" => ?problem.execution(),
+                "detail" => problem.detail(), "retry_after_ms" => problem.retry_after().map(|it| it.as_millis() as u64),
+                "configuration" => cx.in_force.number()
             );
             refusal(problem, &request_id)
         }
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -378,6 +378,10 @@
                     self.open.remove(&id);
                 }
                 Action::Probe { service, target } => self.effect(Effect::Probe { service, target }),
+                Action::HealthChanged { service, target, health, in_flight } => info!(
+                    self.log, "target health changed";
+                    "service" => %service, "target" => %target, "health" => ?health, "in_flight" => in_flight
+                ),
                 Action::ShareLoad => self.effect(Effect::ShareLoad),
                 Action::ShareVerdict { fingerprint } => {
                     self.effect(Effect::ShareVerdict { fingerprint })
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -51,7 +51,7 @@
 ///
 /// Fails if an address cannot be bound or a thread cannot be started.
 pub fn run(settings: Settings, file: PathBuf) -> Result<ExitCode> {
-    let log = logging::logger(&settings);
+    let (log, dropped) = logging::logger(&settings);
     let clock = Clock::start();
     let incarnation = clock::unix_millis();
     info!(log, "daemon starting"; "version" => env!("CARGO_PKG_VERSION"), "incarnation" => incarnation);
@@ -78,6 +78,7 @@
         incarnation,
         clock,
         log: log.clone(),
+        dropped_lines: dropped,
         control: control.clone(),
     };
     let cx = Arc::new(Shared::new(parts));
--- a/crates/borageshed/src/logging.rs
+++ b/crates/borageshed/src/logging.rs
@@ -1,25 +1,110 @@
 //! Structured logs: one line of key=value pairs for each event, on standard output.
+//!
+//! The volume has a ceiling: lines over it are dropped and counted, those of served requests before those of failures. A
+//! reader that stops reading holds up only the thread that writes.
 
-use std::io;
+use std::{
+    io,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
 
-use slog::{Drain, Level, Logger, o};
-use slog_async::Async;
+use slog::{Drain, FnValue, Level, Logger, OwnedKVList, Record, o};
+use slog_async::{Async, OverflowStrategy};
 use slog_logfmt::Logfmt;
 
-use crate::settings::{LogLevel, Settings};
+use crate::{
+    clock,
+    settings::{LogLevel, Settings},
+};
 
-/// Lines that wait for standard output; when it blocks, further lines are dropped and counted by `slog-async`.
+/// Lines that wait for standard output; when it blocks, further lines are dropped.
 const QUEUED_LINES: usize = 4_096;
 
-/// Creates the root logger, which adds the instance to each line.
-pub fn logger(settings: &Settings) -> Logger {
+/// The lines of a second may come at once after a pause of this many seconds.
+const BURST_SECONDS: f64 = 2.0;
+
+/// The part of the burst that is kept for lines of level info and above.
+const RESERVED_PART: f64 = 0.5;
+
+/// Counts the lines that were dropped.
+#[derive(Debug, Default)]
+pub struct Dropped(AtomicU64);
+
+impl Dropped {
+    /// Returns the lines that were dropped so far.
+    pub fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Creates the root logger, which adds time and instance to each line.
+pub fn logger(settings: &Settings) -> (Logger, Arc<Dropped>) {
     let level = match settings.log_level {
         LogLevel::Error => Level::Error,
         LogLevel::Warning => Level::Warning,
         LogLevel::Info => Level::Info,
         LogLevel::Debug => Level::Debug,
     };
+    let dropped = Arc::new(Dropped::default());
     let lines = Logfmt::new(io::stdout()).build().fuse();
-    let drain = Async::new(lines).chan_size(QUEUED_LINES).build().filter_level(level).fuse();
-    Logger::root(drain, o!("instance" => settings.instance.to_string()))
+    let queued =
+        Async::new(lines).chan_size(QUEUED_LINES).overflow_strategy(OverflowStrategy::Drop).build();
+    let limited = Limited::new(queued, settings.limits.log_lines_per_s, Arc::clone(&dropped));
+    let drain = limited.filter_level(level).fuse();
+    let time = FnValue(|_: &Record<'_>| clock::unix_millis());
+    let log = Logger::root(drain, o!("ts" => time, "instance" => settings.instance.to_string()));
+    (log, dropped)
+}
+
+/// Drops lines over a rate.
+struct Limited<D> {
+    inner: D,
+    lines_per_s: f64,
+    state: Mutex<Bucket>,
+    dropped: Arc<Dropped>,
+}
+
+struct Bucket {
+    level: f64,
+    filled_at: Instant,
+}
+
+impl<D> Limited<D> {
+    fn new(inner: D, lines_per_s: u32, dropped: Arc<Dropped>) -> Self {
+        let lines_per_s = f64::from(lines_per_s);
+        let bucket = Bucket { level: lines_per_s * BURST_SECONDS, filled_at: Instant::now() };
+        Self { inner, lines_per_s, state: Mutex::new(bucket), dropped }
+    }
+
+    fn take(&self, level: Level) -> bool {
+        let capacity = self.lines_per_s * BURST_SECONDS;
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let gained = now.duration_since(state.filled_at).as_secs_f64() * self.lines_per_s;
+        state.level = (state.level + gained).min(capacity);
+        state.filled_at = now;
+        let floor = if level.is_at_least(Level::Info) { 0.0 } else { capacity * RESERVED_PART };
+        let fits = state.level - 1.0 >= floor;
+        if fits {
+            state.level -= 1.0;
+        }
+        fits
+    }
+}
+
+impl<D: Drain> Drain for Limited<D> {
+    type Ok = ();
+    type Err = D::Err;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), D::Err> {
+        if !self.take(record.level()) {
+            self.dropped.0.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        self.inner.log(record, values).map(|_| ())
+    }
 }
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -57,6 +57,7 @@
 pub async fn run(cx: &Arc<Shared>, call: Call, caller: &Caller) -> Ended {
     let service = call.service.clone();
     let account = call.account.clone();
+    let request_id = call.request_id.clone();
     let started = cx.clock.now();
     let mut ended = run_call(cx, call, caller).await;
     burn::count(cx, account, service.clone(), started, &mut ended);
@@ -67,6 +68,10 @@
         Ended::CallerGone => Outcome::CallerGone,
     };
     cx.metrics.count_request(Some(&service.to_string().into()), outcome);
+    debug!(
+        cx.log, "request ended";
+        "request" => &request_id, "outcome" => ?outcome, "after_ms" => cx.clock.now().since(started).as_millis() as u64
+    );
     ended
 }
 
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -125,6 +125,8 @@
         pub idle_ms: u64,
         /// How long a target may take to its first byte, in milliseconds.
         pub first_byte_ms: u64,
+        /// Lines of the log per second; further ones are dropped and counted.
+        pub log_lines_per_s: u32,
         /// How long a daemon that drains goes on accepting connections, so that the balancer notices first, in
         /// milliseconds.
         pub drain_lead_ms: u64,
@@ -205,6 +207,7 @@
             body_bytes: 8 * 1024 * 1024,
             idle_ms: 60_000,
             first_byte_ms: 10_000,
+            log_lines_per_s: 500,
             drain_lead_ms: 500,
             drain_ms: 30_000,
         }
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     batch_work, burn::Burn, clock::Clock, control::ControlHandle, directory::Directory, in_force,
-    known_jobs::KnownJobs, metrics::Metrics, settings::Settings,
+    known_jobs::KnownJobs, logging::Dropped, metrics::Metrics, settings::Settings,
 };
 
 /// The context that every task of a daemon gets.
@@ -34,6 +34,8 @@
     pub clock: Clock,
     /// The log.
     pub log: Logger,
+    /// The lines of the log that were dropped.
+    pub dropped_lines: Arc<Dropped>,
     /// The metrics.
     pub metrics: Metrics,
     /// Good and bad requests by account and service.
@@ -79,6 +81,8 @@
     pub clock: Clock,
     /// The log.
     pub log: Logger,
+    /// The lines of the log that were dropped.
+    pub dropped_lines: Arc<Dropped>,
     /// The platform's key-value service.
     pub store: PlatformStore,
     /// The control thread.
@@ -90,12 +94,14 @@
 impl Shared {
     /// Creates the context of a daemon that has no configuration yet.
     pub fn new(parts: Parts) -> Self {
-        let Parts { settings, incarnation, clock, log, store, control, client } = parts;
+        let Parts { settings, incarnation, clock, log, dropped_lines, store, control, client } =
+            parts;
         Self {
             settings,
             incarnation,
             clock,
             log,
+            dropped_lines,
             metrics: Metrics::new(),
             burn: Burn::default(),
             store: Arc::new(store.clone()),
--- a/crates/borageshed/src/summary.rs
+++ b/crates/borageshed/src/summary.rs
@@ -22,7 +22,7 @@
         info!(
             cx.log, "totals since the start";
             "requests_open" => cx.control.open_requests(), "store_calls" => calls.join(","),
-            "store_silent_s" => cx.platform_silent_s()
+            "store_silent_s" => cx.platform_silent_s(), "lines_dropped" => cx.dropped_lines.count()
         );
     }
 }
--- a/crates/borageshedctl/src/cli.rs
+++ b/crates/borageshedctl/src/cli.rs
@@ -77,6 +77,9 @@
     /// List, show and cancel batch jobs of the account whose key is given.
     #[command(after_help = EXIT_CODES, subcommand)]
     Jobs(JobsCommand),
+    /// Print the story of a request, an item or a job from the logs of all daemons.
+    #[command(after_help = EXIT_CODES)]
+    Explain(ExplainArgs),
     /// Report on service levels.
     #[command(after_help = EXIT_CODES, subcommand)]
     Report(ReportCommand),
@@ -283,6 +286,15 @@
     }
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// The id of the request, the item or the job.
+    pub id: String,
+    /// Logs of daemons; standard input without any.
+    pub files: Vec<PathBuf>,
+}
+
 /// Arguments of `completions`.
 #[derive(Debug, Args)]
 pub struct CompletionsArgs {
--- /dev/null
+++ b/crates/borageshedctl/src/commands/explain.rs
@@ -0,0 +1,124 @@
+//! `explain`: the story of a request or job, from the logs of all daemons.
+
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader},
+    path::Path,
+};
+
+use serde_json::json;
+
+use crate::{
+    cli::ExplainArgs,
+    context::Context,
+    error::{Failure, Result},
+};
+
+/// Lines that say what a daemon believed, which are shown if they come shortly before or during the story.
+const BELIEFS: [&str; 7] = [
+    "target health changed",
+    "peer link changed",
+    "configuration taken",
+    "key-value service lost",
+    "key-value service regained",
+    "rate slots changed",
+    "drain starting",
+];
+
+/// How long before the story beliefs are shown, in milliseconds.
+const BELIEFS_BEFORE_MS: u64 = 3_000;
+
+/// A line of a log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Line {
+    /// Milliseconds since the Unix epoch.
+    at: u64,
+    instance: String,
+    text: String,
+}
+
+/// Prints the lines that concern a request, an item or a job, in order of time, with the beliefs that decided them.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read or no line concerns the id.
+pub fn run(cx: &Context, args: &ExplainArgs) -> Result<()> {
+    let mut lines = Vec::new();
+    for file in &args.files {
+        let reader = open(file).map_err(|e| unreadable(file, &e))?;
+        for line in reader.lines() {
+            lines.extend(parse(&line.map_err(|e| unreadable(file, &e))?));
+        }
+    }
+    if args.files.is_empty() {
+        for line in io::stdin().lines() {
+            lines.extend(parse(&line.map_err(|e| unreadable(Path::new("-"), &e))?));
+        }
+    }
+    let story = story(lines, &args.id);
+    if story.is_empty() {
+        return Err(Failure::Refused(format!("no line concerns {}", args.id)));
+    }
+    let start = story[0].at;
+    let text: Vec<String> = story
+        .iter()
+        .map(|it| {
+            format!("{:>8} ms  {:<20} {}\n", it.at as i64 - start as i64, it.instance, it.text)
+        })
+        .collect();
+    let lines: Vec<_> = story
+        .iter()
+        .map(|it| json!({ "ts": it.at, "instance": it.instance, "line": it.text }))
+        .collect();
+    cx.emit(&text.concat(), &json!({ "id": args.id, "lines": lines }));
+    Ok(())
+}
+
+/// Returns the lines that concern an id, and the beliefs of the daemons that wrote them.
+fn story(lines: Vec<Line>, id: &str) -> Vec<Line> {
+    let concerns = |it: &&Line| it.text.split(|c: char| !is_id_char(c)).any(|word| word == id);
+    let (mut first, mut last) = (u64::MAX, 0);
+    let mut instances = Vec::new();
+    for line in lines.iter().filter(concerns) {
+        first = first.min(line.at);
+        last = last.max(line.at);
+        instances.push(line.instance.clone());
+    }
+    let is_belief = |it: &Line| {
+        instances.contains(&it.instance)
+            && it.at + BELIEFS_BEFORE_MS >= first
+            && it.at <= last
+            && BELIEFS.iter().any(|belief| it.text.contains(belief))
+    };
+    let mut story: Vec<Line> =
+        lines.iter().filter(|it| concerns(it) || is_belief(it)).cloned().collect();
+    story.sort_by_key(|it| it.at);
+    story
+}
+
+fn is_id_char(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.')
+}
+
+/// Reads a line; `None` if it is none of a daemon's.
+fn parse(line: &str) -> Option<Line> {
+    // What a collector puts in front of a line is passed over.
+    let text = ["DEBG | ", "INFO | ", "WARN | ", "ERRO | "].iter().find_map(|it| line.find(it));
+    let text = &line[text?..];
+    let at = value(text, "ts")?.parse().ok()?;
+    let instance = value(text, "instance")?.to_owned();
+    Some(Line { at, instance, text: text.replace('\t', "  ") })
+}
+
+fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    let words = line.split([' ', '\t']);
+    words.filter_map(|it| it.split_once('=')).find(|(name, _)| *name == key).map(|(_, it)| it)
+}
+
+fn open(file: &Path) -> io::Result<Box<dyn BufRead>> {
+    Ok(Box::new(BufReader::new(File::open(file)?)))
+}
+
+fn unreadable(file: &Path, error: &io::Error) -> Failure {
+    Failure::Refused(format!("{} cannot be read: {error}", file.display()))
+}
--- a/crates/borageshedctl/src/commands/mod.rs
+++ b/crates/borageshedctl/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod burn;
 pub mod check;
 pub mod edit;
+pub mod explain;
 pub mod jobs;
 pub mod keys;
 pub mod load;
--- a/crates/borageshedctl/src/main.rs
+++ b/crates/borageshedctl/src/main.rs
@@ -61,6 +61,7 @@
         Command::Keys(command) => commands::keys::run(cx, command).await,
         Command::Status => commands::status::run(cx).await,
         Command::Jobs(command) => commands::jobs::run(cx, command).await,
+        Command::Explain(args) => commands::explain::run(cx, args),
         Command::Report(ReportCommand::Burn(args)) => commands::burn::run(cx, args).await,
         Command::Load(command) => commands::load::run(cx, command).await,
         Command::Completions(args) => {
--- a/crates/http-edge/src/problem.rs
+++ b/crates/http-edge/src/problem.rs
@@ -185,6 +185,11 @@
         self.execution
     }
 
+    /// Returns the explanation of this occurrence.
+    pub fn detail(&self) -> &str {
+        &self.detail
+    }
+
     /// Returns when the caller should come back, if that is known.
     pub fn retry_after(&self) -> Option<Duration> {
         self.retry_after
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -404,6 +404,7 @@
                     let event = Event::Probed { service, target, ok };
                     self.at(self.now + 2 * LINK_US, Happening::Tell { instance, event });
                 }
+                Action::HealthChanged { .. } => {}
                 Action::ShareLoad => self.heartbeat(instance),
                 // No request of the experiment is poison, and the delay of claims counts without their answers.
                 Action::Cancel { .. }
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -5,6 +5,8 @@
 use fleet::QualifiedName;
 use stdx::{Name, Timestamp, record_type, value_type};
 
+use super::health::HealthState;
+
 /// The SHA-256 by which a request is recognised when it is sent again.
 pub type Fingerprint = [u8; 32];
 
@@ -89,6 +91,17 @@
             /// The name of the target.
             target: Name,
         },
+        /// Nothing is to be done, but the dispatcher judges a target otherwise than before.
+        HealthChanged {
+            /// The service of the target.
+            service: QualifiedName,
+            /// The name of the target.
+            target: Name,
+            /// The health as it is now.
+            health: HealthState,
+            /// This instance's requests in flight there.
+            in_flight: u32,
+        },
         /// Send a heartbeat with the requests in flight to the peers now: an online request took the slot that batch
         /// leaves free, or one above the limit, so that peers must start no batch requests there, or stop some.
         ShareLoad,
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -20,6 +20,8 @@
     /// Whether the target list still names the target; otherwise it is kept until its requests have ended.
     pub listed: bool,
     pub health: Health,
+    /// The health that was reported last.
+    pub reported_health: HealthState,
     pub own: Counts,
     /// Own batch requests that can be interrupted and were not told to stop, oldest first.
     pub stoppable: Vec<u64>,
@@ -80,6 +82,7 @@
         Self {
             local,
             listed: true,
+            reported_health: if info.registered { HealthState::Up } else { HealthState::Unknown },
             health: if info.registered { Health::registered() } else { Health::new() },
             info,
             own: Counts::default(),
--- a/crates/policy/src/dispatch/upkeep.rs
+++ b/crates/policy/src/dispatch/upkeep.rs
@@ -6,7 +6,7 @@
 
 use super::{
     dispatcher::{Dispatcher, Peer, come_back},
-    request::{Class, Reason},
+    request::{Action, Class, Reason},
     service::Service,
     target::{Counts, Target},
 };
@@ -46,6 +46,13 @@
             let target = &mut self.services[service].targets[&name];
             target.refresh(&self.settings, now, peers as u32 + 1);
             target.health.tick(&self.settings, now, &mut self.rng);
+            let health = target.health.state();
+            if std::mem::replace(&mut target.reported_health, health) != health {
+                let in_flight = target.own.total();
+                let service = self.services[service].name.clone();
+                let target = name.clone();
+                self.actions.push(Action::HealthChanged { service, target, health, in_flight });
+            }
             self.send_wanted_probe(now, service, &name);
         }
     }
@@ -148,7 +155,7 @@
         let Some(target) = service.targets.get_mut(target) else { return };
         if target.listed && target.health.take_probe(now) {
             let (service, target) = (service.name.clone(), target.info.name.clone());
-            self.actions.push(super::Action::Probe { service, target });
+            self.actions.push(Action::Probe { service, target });
         }
     }
 }
--- a/crates/policy/tests/dispatch_poison.rs
+++ b/crates/policy/tests/dispatch_poison.rs
@@ -198,6 +198,7 @@
                     let event = Event::Probed { service, target, ok };
                     self.after(1, Happening::Tell { dispatcher, event });
                 }
+                Action::HealthChanged { .. } => {}
                 Action::ShareLoad => self.heartbeat(dispatcher),
                 Action::CancelBatch { .. } => {}
                 Action::ShareVerdict { fingerprint } => {
--- a/crates/policy/tests/dispatch_random.rs
+++ b/crates/policy/tests/dispatch_random.rs
@@ -182,6 +182,7 @@
                     assert!(!not_run || truth.starts == 0, "{id} ran and was refused as not run");
                 }
                 Action::Cancel { id } => self.attempts.retain(|it| it.id != id),
+                Action::HealthChanged { .. } => {}
                 Action::ShareLoad => self.heartbeat(dispatcher),
                 Action::CancelBatch { .. } => {}
                 Action::Probe { target, .. } => {
