--- a/crates/borageshed/src/control/event.rs
+++ b/crates/borageshed/src/control/event.rs
@@ -1,9 +1,6 @@
 //! What traffic tasks and peers tell the control thread.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use fleet::{Document, QualifiedName};
 use policy::{
@@ -78,8 +75,8 @@
     },
     /// The registered daemons changed.
     Members {
-        /// Their names.
-        live: BTreeSet<Name>,
+        /// Those that admit callers, with their failure domains.
+        admitting: BTreeMap<Name, Name>,
     },
     /// The registered targets changed; they replace those of the document.
     Registry {
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -10,7 +10,7 @@
 use policy::{
     dispatch::{self, Action, Dispatcher, Execution, Reason, Refusal, target_infos},
     rate::{Acquire, DONOR_HOLD, Holdings, RateAction, RateLimiter, WaiterId},
-    slots::{DEFAULT_SLOT_VALIDITY, SlotKeeper},
+    slots::{self, DEFAULT_SLOT_VALIDITY, SlotKeeper},
 };
 use slog::{Logger, debug, info, warn};
 use stdx::{Name, Timestamp, rng};
@@ -34,7 +34,8 @@
     /// Requests that the dispatcher holds.
     open: HashMap<u64, async_channel::Sender<Directive>>,
     document: Option<Arc<Document>>,
-    listed_live: BTreeSet<Name>,
+    /// The registered daemons that admit callers, with their failure domains.
+    admitting: BTreeMap<Name, Name>,
     /// The registered targets by service, where they replace those of the document.
     registry: Option<BTreeMap<QualifiedName, Vec<dispatch::TargetInfo>>>,
     peers_up: BTreeSet<Name>,
@@ -72,7 +73,7 @@
             rate_waiting: HashMap::new(),
             open: HashMap::new(),
             document: None,
-            listed_live: BTreeSet::new(),
+            admitting: BTreeMap::new(),
             registry: None,
             peers_up: BTreeSet::new(),
             peers_leaving: BTreeSet::new(),
@@ -108,7 +109,7 @@
                 }
                 self.update_holdings(now);
             }
-            ControlEvent::Members { live } => self.listed_live = live,
+            ControlEvent::Members { admitting } => self.admitting = admitting,
             ControlEvent::Registry { services } => {
                 let gone: Vec<QualifiedName> = self
                     .registry
@@ -328,11 +329,12 @@
             return;
         }
         let Some(rate) = &mut self.rate else { return };
-        let mut live = self.listed_live.clone();
-        live.extend(self.peers_up.iter().cloned());
+        let mut admitting = self.admitting.clone();
+        let own = (self.cfg.instance.clone(), self.cfg.failure_domain.clone());
+        admitting.extend([own]);
         // A shutdown releases its slots at once, while the list lags.
-        live.retain(|it| !self.peers_leaving.contains(it));
-        for action in rate.slots.tick(now, &live) {
+        admitting.retain(|it, _| !self.peers_leaving.contains(it));
+        for action in rate.slots.tick(now, &slots::holders(&admitting)) {
             self.effect(Effect::Slot(action));
         }
     }
--- a/crates/borageshed/src/membership.rs
+++ b/crates/borageshed/src/membership.rs
@@ -1,10 +1,6 @@
 //! Registers this daemon in the key-value service under a lease, and follows which other daemons have done so.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
 use fleet::{MEMBERS_PREFIX, MemberRecord};
@@ -34,6 +30,7 @@
     let record = MemberRecord {
         address: cx.settings.peer_advertise.unwrap_or(cx.settings.peer_listen),
         failure_domain: cx.settings.failure_domain.clone(),
+        admits_callers: cx.settings.listen.is_some(),
         runs_items: cx.settings.batch.enabled,
     };
     let value = serde_json::to_vec(&record).expect("a record is plain JSON");
@@ -120,6 +117,7 @@
                 instance: name.clone(),
                 failure_domain: record.failure_domain,
                 address: record.address,
+                admits_callers: record.admits_callers,
                 runs_items: record.runs_items,
             };
             Some((name, info))
@@ -145,7 +143,8 @@
             self.daemons.insert(name.clone(), (now, info.clone()));
         }
         self.daemons.retain(|_, (seen, _)| now.since(*seen) < REMEMBERED);
-        let live: BTreeSet<Name> = members.keys().cloned().collect();
+        let admitting = members.values().filter(|it| it.admits_callers);
+        let admitting = admitting.map(|it| (it.instance.clone(), it.failure_domain.clone()));
         let runners = members.values().filter(|it| it.runs_items);
         cx.set_item_runners(runners.map(|it| it.instance.clone()).collect());
         let from_settings = cx.settings.peers.iter().map(|peer| {
@@ -153,6 +152,7 @@
                 instance: peer.instance.clone(),
                 failure_domain: peer.failure_domain.clone(),
                 address: peer.address,
+                admits_callers: false,
                 runs_items: false,
             };
             (peer.instance.clone(), info)
@@ -160,8 +160,8 @@
         let mut known: BTreeMap<Name, PeerInfo> = from_settings.collect();
         known.extend(self.daemons.iter().map(|(name, (_, info))| (name.clone(), info.clone())));
         known.remove(&cx.settings.instance);
-        debug!(cx.log, "registered daemons changed"; "daemons" => live.len(), "dialled" => known.len());
+        debug!(cx.log, "registered daemons changed"; "daemons" => members.len(), "dialled" => known.len());
         peers.set(known.into_values().collect());
-        cx.control.send(ControlEvent::Members { live });
+        cx.control.send(ControlEvent::Members { admitting: admitting.collect() });
     }
 }
--- a/crates/borageshed/src/peers.rs
+++ b/crates/borageshed/src/peers.rs
@@ -57,6 +57,8 @@
         pub failure_domain: Name,
         /// Where it listens for daemons.
         pub address: SocketAddr,
+        /// Whether it admits requests of callers.
+        pub admits_callers: bool,
         /// Whether it runs batch items.
         pub runs_items: bool,
     }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -14,6 +14,8 @@
         pub address: SocketAddr,
         /// Its failure domain.
         pub failure_domain: Name,
+        /// Whether it admits requests of callers.
+        pub admits_callers: bool,
         /// Whether it runs batch items.
         pub runs_items: bool,
     }
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -26,8 +26,15 @@
 const DRIFT_DIVISOR: u32 = 50;
 /// How long an unanswered action blocks its slot; the caller's own timeout is expected to be shorter.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(10);
-/// How often all claims are read.
+/// How often an instance that holds slots reads all claims.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
+/// How often the others do; a holder that has changed meanwhile only costs them a loan request.
+const OBSERVER_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Up to so many instances of a failure domain hold slots each, so that the loss of one costs a small part of the rates.
+const MAX_HOLDERS: usize = 4;
+/// In larger failure domains so many do: with more of them, small accounts would be cut into parts of less than a request,
+/// and every request would need several loans.
+const HOLDERS_OF_LARGE_DOMAIN: usize = 1;
 
 wire_type! {
     /// The record of one slot in the store.
@@ -124,6 +131,24 @@
     sent_at: Timestamp,
 }
 
+/// Returns which of the instances that admit callers hold slots: the first ones of each failure domain, by name.
+///
+/// All instances compute the same from the same list.
+pub fn holders<'a>(instances: impl IntoIterator<Item = (&'a Name, &'a Name)>) -> BTreeSet<Name> {
+    let mut by_domain: BTreeMap<&Name, Vec<&Name>> = BTreeMap::new();
+    for (instance, domain) in instances {
+        by_domain.entry(domain).or_default().push(instance);
+    }
+    let mut holders = BTreeSet::new();
+    for names in by_domain.values_mut() {
+        // By length first, so that numbers without leading zeros stand in order.
+        names.sort_unstable_by_key(|it| (it.len(), *it));
+        let count = if names.len() <= MAX_HOLDERS { names.len() } else { HOLDERS_OF_LARGE_DOMAIN };
+        holders.extend(names.iter().take(count).map(|it| (*it).clone()));
+    }
+    holders
+}
+
 impl SlotKeeper {
     /// Creates the keeper of instance `id`.
     ///
@@ -218,9 +243,16 @@
     }
 
     /// Returns the steps that are due, given the instances that are live.
-    pub fn tick(&mut self, now: Timestamp, live: &BTreeSet<Name>) -> Vec<SlotAction> {
+    ///
+    /// `holders` are the instances that hold slots; others only learn whom to borrow from.
+    pub fn tick(&mut self, now: Timestamp, holders: &BTreeSet<Name>) -> Vec<SlotAction> {
         let mut actions = Vec::new();
-        if self.read_at.is_none_or(|at| now.since(at) >= READ_INTERVAL) {
+        let is_settled = self.slots.iter().any(|it| it.holder().is_some());
+        let interval = match holders.contains(&self.id) || !is_settled {
+            true => READ_INTERVAL,
+            false => OBSERVER_READ_INTERVAL,
+        };
+        if self.read_at.is_none_or(|at| now.since(at) >= interval) {
             self.read_at = Some(now);
             self.reads += 1;
             actions.push(SlotAction::ReadAll { read: self.reads });
@@ -234,7 +266,7 @@
         if !self.is_informed {
             return actions;
         }
-        let quota = self.quota(now, live);
+        let quota = self.quota(now, holders);
         self.stop_surplus(now, quota);
         for number in 0..self.slots.len() {
             actions.extend(self.own_slot_step(now, number));
@@ -245,14 +277,12 @@
     }
 
     /// Returns this instance's even part of the slots that live instances can hold.
-    fn quota(&self, now: Timestamp, live: &BTreeSet<Name>) -> usize {
-        if self.is_draining {
+    fn quota(&self, now: Timestamp, members: &BTreeSet<Name>) -> usize {
+        if self.is_draining || !members.contains(&self.id) {
             return 0;
         }
-        let mut members = live.clone();
-        members.insert(self.id.clone());
         let obtainable =
-            self.slots.iter().filter(|it| self.is_obtainable(now, it, &members)).count();
+            self.slots.iter().filter(|it| self.is_obtainable(now, it, members)).count();
         let rank = members.iter().take_while(|it| **it < self.id).count();
         obtainable / members.len() + usize::from(rank < obtainable % members.len())
     }
--- a/crates/policy/src/slots/tests.rs
+++ b/crates/policy/src/slots/tests.rs
@@ -140,7 +140,10 @@
 
     fn turn(&mut self, index: usize, faults: f64) {
         let now = self.local(index);
-        let live = (0..self.keepers.len()).filter(|it| self.is_up[*it]).map(name).collect();
+        let mut live: BTreeSet<Name> =
+            (0..self.keepers.len()).filter(|it| self.is_up[*it]).map(name).collect();
+        // An instance that is cut off still counts itself.
+        live.insert(name(index));
         for action in self.keepers[index].tick(now, &live) {
             let is_lost = self.is_cut[index] || self.rng.random_bool(faults);
             match action {
