Stop reserving memory for queues that are nearly always empty

Cause: an idle daemon held 9.9 MB of its own memory, since a bounded channel takes all its places at once: 65,536 effects, 4,096 log lines and 4,096 peer events.

--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -42,8 +42,6 @@
 /// How long a drain waits for the segments to be given back, once callers are served.
 const SEGMENT_RELEASE_LIMIT: Duration = Duration::from_secs(5);
 const SLOT_RELEASE_POLL: Duration = Duration::from_millis(50);
-/// Effects that may wait; each is the result of a decision, so they are bounded by the requests that are open.
-const QUEUED_EFFECTS: usize = 65_536;
 
 /// Runs a daemon until it is told to stop by SIGTERM or SIGINT.
 ///
@@ -55,7 +53,9 @@
     let clock = Clock::start();
     let incarnation = clock::unix_millis();
     info!(log, "daemon starting"; "version" => env!("CARGO_PKG_VERSION"), "incarnation" => incarnation);
-    let (effects_tx, effects_rx) = async_channel::bounded(QUEUED_EFFECTS);
+    // Each effect is the result of a decision, so they are bounded by the requests that are open. A bounded channel would
+    // take the memory of all its places at once.
+    let (effects_tx, effects_rx) = async_channel::unbounded();
     let control_config = ControlConfig {
         instance: settings.instance.clone(),
         incarnation,
@@ -220,6 +220,7 @@
 fn client(settings: &Settings, silent: silence::Reporter) -> Client {
     let cfg = ClientSettings {
         first_byte_timeout: Duration::from_millis(settings.limits.first_byte_ms),
+        connect_timeout: Duration::from_millis(settings.limits.connect_ms),
         request_id_check: RequestIdCheck::IfPresent,
         ..ClientSettings::default()
     };
--- a/crates/borageshed/src/logging.rs
+++ b/crates/borageshed/src/logging.rs
@@ -22,7 +22,7 @@
 };
 
 /// Lines that wait for standard output; when it blocks, further lines are dropped.
-const QUEUED_LINES: usize = 4_096;
+const QUEUED_LINES: usize = 1_024;
 
 /// The lines of a second may come at once after a pause of this many seconds.
 const BURST_SECONDS: f64 = 2.0;
--- a/crates/borageshed/src/peers.rs
+++ b/crates/borageshed/src/peers.rs
@@ -46,7 +46,7 @@
 /// How long a peer may take to send a part of its configuration.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Events of the links that may wait; a full channel holds the links back.
-const QUEUED_EVENTS: usize = 4_096;
+const QUEUED_EVENTS: usize = 256;
 
 value_type! {
     /// Another daemon.
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -123,6 +123,8 @@
         pub body_bytes: usize,
         /// How long a connection may be idle, in milliseconds.
         pub idle_ms: u64,
+        /// How long a target may take to accept a connection, in milliseconds.
+        pub connect_ms: u64,
         /// How long a target may take to its first byte, in milliseconds.
         pub first_byte_ms: u64,
         /// Lines of the log per second; further ones are dropped and counted.
@@ -206,6 +208,7 @@
             head_bytes: 16 * 1024,
             body_bytes: 8 * 1024 * 1024,
             idle_ms: 60_000,
+            connect_ms: 1_000,
             first_byte_ms: 10_000,
             log_lines_per_s: 500,
             drain_lead_ms: 500,
