--- /dev/null
+++ b/crates/policy/tests/dispatch_attempts.rs
@@ -0,0 +1,127 @@
+//! Tests of attempts: what is one, how many there are, and what may follow.
+
+mod dispatch_support;
+
+use std::time::Duration;
+
+use dispatch_support::{Bench, SECOND, dispatches, online, refusals, target};
+use policy::dispatch::{
+    Action, Event, Execution, FailureCause, HealthState, NotRunCause, Reason, Request, TargetInfo,
+};
+
+use stdx::Name;
+
+fn three_targets() -> [TargetInfo; 3] {
+    ["t1", "t2", "t3"].map(|it| target(it, "z1", 4))
+}
+
+fn not_run(id: u64, cause: NotRunCause) -> Event {
+    Event::NotRun { id, cause }
+}
+
+fn failed(id: u64, cause: FailureCause) -> Event {
+    Event::FailedAfterSend { id, cause }
+}
+
+fn execution(actions: &[Action]) -> Option<Execution> {
+    actions.iter().find_map(|it| match it {
+        Action::Refuse { refusal, .. } => Some(refusal.execution),
+        _ => None,
+    })
+}
+
+// Guards against a refusal by a target that uses up the only attempt of a request that must not run twice.
+#[test]
+fn a_request_that_a_target_refused_is_placed_elsewhere_and_has_all_its_attempts() {
+    let mut bench = Bench::new(&three_targets());
+    let once = Request { idempotent: false, max_attempts: 1, ..online(1) };
+    let mut asked = vec![dispatches(&bench.submit(once))[0].1.clone()];
+    for _ in 0..2 {
+        let placed = dispatches(&bench.event(not_run(1, NotRunCause::Full)));
+        asked.push(placed[0].1.clone());
+    }
+    asked.sort();
+    assert_eq!(
+        asked,
+        ["t1", "t2", "t3"].map(Name::new),
+        "a target without room is passed by for a while"
+    );
+    let actions = bench.event(failed(1, FailureCause::AnswerLost));
+    assert_eq!(refusals(&actions), [(1, Reason::TargetFailed)]);
+    assert_eq!(execution(&actions), Some(Execution::Unknown));
+}
+
+// Guards against a request that is passed from one full target to the next without end.
+#[test]
+fn a_request_that_every_target_refuses_is_given_up_as_not_run() {
+    let mut bench = Bench::new(&three_targets());
+    bench.submit(online(1));
+    let mut actions = Vec::new();
+    for _ in 0..20 {
+        actions.extend(bench.event(not_run(1, NotRunCause::Full)));
+        actions.extend(bench.pass(Duration::from_millis(100)));
+    }
+    assert_eq!(refusals(&actions), [(1, Reason::QueueFull)]);
+    assert_eq!(execution(&actions), Some(Execution::NotRun));
+}
+
+// Guards against requests that go on to an address at which another target listens now.
+#[test]
+fn a_target_that_was_replaced_takes_no_more_work() {
+    let mut bench = Bench::new(&[target("t1", "z1", 4)]);
+    bench.submit(online(1));
+    bench.event(not_run(1, NotRunCause::Replaced));
+    assert_eq!(bench.health("t1"), HealthState::HeldDown);
+}
+
+// Guards against more runs than the route allows.
+#[test]
+fn a_request_runs_on_as_many_targets_as_it_may() {
+    let mut bench = Bench::new(&three_targets());
+    let twice = Request { max_attempts: 2, ..online(1) };
+    assert_eq!(dispatches(&bench.submit(twice)).len(), 1);
+    assert_eq!(dispatches(&bench.event(failed(1, FailureCause::BadAnswer))).len(), 1);
+    let actions = bench.event(failed(1, FailureCause::BadAnswer));
+    assert_eq!(refusals(&actions), [(1, Reason::TargetFailed)]);
+}
+
+// Guards against a stream that is given up although another target may continue it, or continued although none may.
+#[test]
+fn only_a_resumable_request_goes_on_after_the_first_byte_of_its_answer() {
+    let mut bench = Bench::new(&three_targets());
+    for (id, resumable) in [(1, true), (2, false)] {
+        bench.submit(Request { resumable, max_attempts: 2, ..online(id) });
+        bench.event(Event::FirstByte { id });
+        let actions = bench.event(failed(id, FailureCause::AnswerLost));
+        assert_eq!(dispatches(&actions).len(), usize::from(resumable), "request {id}");
+    }
+}
+
+// Guards against a target that is held down, or a request that is taken for poison, because single answers get lost.
+#[test]
+fn lost_answers_of_a_living_target_cast_no_suspicion() {
+    let mut bench = Bench::new(&[target("t1", "z1", 4)]);
+    for id in 0..3 {
+        bench.submit(Request { idempotent: false, ..online(id) });
+        bench.event(failed(id, FailureCause::AnswerLost));
+    }
+    assert_eq!(bench.health("t1"), HealthState::Up);
+    assert_eq!(dispatches(&bench.submit(online(9))).len(), 1);
+}
+
+// Guards against a probe of each new target by each daemon, and against a registered target that waits for one.
+#[test]
+fn a_registered_target_takes_work_at_once_and_its_changes_of_health_are_told() {
+    let registered = TargetInfo { registered: true, ..target("t1", "z1", 4) };
+    let mut bench = Bench::new(&[]);
+    let actions = bench.list(&[registered]);
+    assert!(!actions.iter().any(|it| matches!(it, Action::Probe { .. })), "{actions:?}");
+    for id in 0..3 {
+        assert_eq!(dispatches(&bench.submit(online(id))).len(), 1, "request {id}");
+    }
+    bench.event(failed(0, FailureCause::ConnectionLost));
+    let told = bench.pass(SECOND / 10);
+    let is_told =
+        |it: &Action| matches!(it, Action::HealthChanged { health: HealthState::HeldDown, .. });
+    assert!(told.iter().any(is_told), "{told:?}");
+}
