Run a job whose record could not be read right after its claim

Read: a daemon whose claim was stored or unknown, and whose read of the job failed, took its own claim for another's and never ran the job; and an item stopped before its task had begun never gave its waiting place back. Change: an own claim under the present lease is taken up again; the waiting place is given back in any case. Ruled out: a lost index event, since the index is read again every 6 s.

--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -273,7 +273,8 @@
             rng::seeded(self.cfg.seed ^ 1),
         );
         let limiter = RateLimiter::new(now, document, rng::seeded(self.cfg.seed ^ 2))
-            .with_head_start(self.cfg.head_start);
+            .with_head_start(self.cfg.head_start)
+            .with_loan_bytes(self.cfg.loan_bytes_per_s);
         Rate { admits_at: now + DONOR_HOLD, limiter, slots, holdings: Holdings::default() }
     }
 
--- a/crates/borageshed/src/control/thread.rs
+++ b/crates/borageshed/src/control/thread.rs
@@ -30,6 +30,8 @@
     pub failure_domain: Name,
     /// Whether this instance takes a share of every account's rate, because it admits requests of callers.
     pub admits_callers: bool,
+    /// The bytes per second that loans between instances may take.
+    pub loan_bytes_per_s: f64,
     /// The time whose refill may be spent right after the start.
     pub head_start: Duration,
     /// The most requests that are open at once.
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -18,6 +18,7 @@
 };
 use kv_store::budget::BudgetConfig;
 use platform::{PlatformStore, PlatformStoreConfig};
+use policy::rate::LOAN_BYTES_PER_S;
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
@@ -61,6 +62,7 @@
         incarnation,
         failure_domain: settings.failure_domain.clone(),
         admits_callers: settings.listen.is_some(),
+        loan_bytes_per_s: loan_bytes_per_s(&settings),
         head_start: Duration::from_millis(settings.rate_allowance.head_start_ms),
         max_requests: settings.limits.requests,
         seed: incarnation,
@@ -217,6 +219,13 @@
     }
 }
 
+fn loan_bytes_per_s(settings: &Settings) -> f64 {
+    match settings.rate_allowance.loan_bytes_per_s {
+        0 => LOAN_BYTES_PER_S,
+        bytes => f64::from(bytes),
+    }
+}
+
 fn client(settings: &Settings, silent: silence::Reporter) -> Client {
     let cfg = ClientSettings {
         first_byte_timeout: Duration::from_millis(settings.limits.first_byte_ms),
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -60,7 +60,7 @@
     Listed { open: BTreeMap<JobId, OpenJob>, claimed: Vec<JobId> },
     Open(JobId, OpenJob),
     Closed(JobId),
-    Claimed(JobId),
+    Claimed(JobId, Name),
     ClaimEnded(JobId),
 }
 
@@ -158,7 +158,8 @@
             }
             Event::Claimed { id, lease, loaded } => self.on_claimed(id, lease, loaded),
             Event::NotClaimed { id } => {
-                if self.open.contains_key(&id) && !self.claimed.contains_key(&id) {
+                // The claim may have been made, so what others see of it does not count here.
+                if self.open.contains_key(&id) && !self.own.contains_key(&id) {
                     self.claim_at.insert(id, self.cx.clock.now() + CLAIM_RETRY);
                 }
             }
@@ -178,7 +179,7 @@
                 self.open = open;
                 self.claimed = claimed.into_iter().map(|it| (it, ())).collect();
                 closed.iter().for_each(|it| self.drop_job(it, "job ended"));
-                self.claim_at.clear();
+                self.claim_at.retain(|it, _| self.open.contains_key(it));
                 for id in self.open.keys().cloned().collect::<Vec<_>>() {
                     self.plan_claim(now, id);
                 }
@@ -195,8 +196,11 @@
                     self.drop_job(&id, "job ended");
                 }
             }
-            IndexChange::Claimed(id) => {
-                self.claim_at.remove(&id);
+            IndexChange::Claimed(id, owner) => {
+                // A claim of this daemon whose job could not be read yet is tried again.
+                if owner != self.cx.settings.instance {
+                    self.claim_at.remove(&id);
+                }
                 self.claimed.insert(id, ());
             }
             IndexChange::ClaimEnded(id) => {
@@ -209,7 +213,8 @@
     fn plan_claim(&mut self, now: Timestamp, id: JobId) {
         let is_free = self.open.contains_key(&id)
             && !self.claimed.contains_key(&id)
-            && !self.own.contains_key(&id);
+            && !self.own.contains_key(&id)
+            && !self.claim_at.contains_key(&id);
         if is_free {
             let runners = self.cx.item_runners();
             let delay = claim::delay(&id, &self.cx.settings.instance, &runners);
@@ -332,8 +337,9 @@
         let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
         let placed_tx = events.clone();
+        // Made outside the task, so that an item that is stopped before its task has begun is told of as well.
+        let mut placed = Placed { events: placed_tx, is_told: false };
         let (run, handle) = abortable(async move {
-            let mut placed = Placed { events: placed_tx, is_told: false };
             let ended = item::run(&cx, &call, output, || placed.tell()).await;
             drop(placed);
             // The worker may have ended.
@@ -431,6 +437,8 @@
     let transaction = claim::transaction(id, &cx.settings.instance, lease);
     match cx.store.commit(&transaction).await? {
         Committed::Won(_) => {}
+        // An earlier call made the claim, and the job could not be read then.
+        Committed::Lost(entries) if entries.iter().any(|it| is_own_claim(cx, it, lease)) => {}
         Committed::Lost(_) => return Ok(None),
         Committed::Unknown => {
             return Err(kv_store::Error::AnswerLost("the claim is not confirmed".to_owned()));
@@ -439,6 +447,10 @@
     load_job(cx, id, route).await
 }
 
+fn is_own_claim(cx: &Shared, entry: &kv_store::Entry, lease: LeaseId) -> bool {
+    entry.lease == Some(lease) && entry.value == cx.settings.instance.as_bytes()
+}
+
 async fn load_job(cx: &Shared, id: &JobId, route: Name) -> kv_store::Result<Option<JobRun>> {
     let damaged = |key: &str, e: serde_json::Error| {
         kv_store::Error::Protocol(format!("the stored value {key} cannot be read: {e}"))
@@ -519,7 +531,8 @@
         let (Either::Left((event, _)) | Either::Right((event, _))) = next;
         let change = match event {
             Some(WatchEvent::Put(entry)) if entry.key.starts_with(CLAIM_PREFIX) => {
-                JobId::of_claim(&entry.key).map(IndexChange::Claimed)
+                let owner = Name::new(String::from_utf8_lossy(&entry.value));
+                JobId::of_claim(&entry.key).map(|id| IndexChange::Claimed(id, owner))
             }
             Some(WatchEvent::Put(entry)) => {
                 open_job(cx, &entry).map(|(id, job)| IndexChange::Open(id, job))
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -77,6 +77,8 @@
         pub burst: f64,
         /// The time whose refill an instance may spend right after its start, in milliseconds.
         pub head_start_ms: u64,
+        /// The bytes per second that loans between instances may take; 0 for the share of the control traffic at full size.
+        pub loan_bytes_per_s: u32,
     }
 }
 
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -378,6 +378,54 @@
     wait_until("the job is finished", read).await
 }
 
+// Guards against a job that stays claimed and is never run, because its claim or its items could not be read at the time.
+#[async_std::test]
+async fn jobs_are_all_finished_though_the_store_fails_again_and_again() -> io::Result<()> {
+    let target = Target::start(stream(2, 1)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
+    for n in 0..12 {
+        faults(Faults { refuse_with: Some(0), lose_answers: Some(0), ..Faults::default() });
+        let id = format!("job-{n}");
+        let submit = Call::post(JOBS, operator::job(&[&format!("i-{n}")])).key(KEY);
+        assert_eq!(site.send(submit.header("x-request-id", &id)).await.status, 202);
+        // The claim follows within some milliseconds, and the reads of the job after it.
+        task::sleep(Duration::from_millis(150 + 2 * n)).await;
+        faults(Faults { refuse_with: Some(503), lose_answers: Some(1), ..Faults::default() });
+        task::sleep(Duration::from_millis(60)).await;
+    }
+    faults(Faults { refuse_with: Some(0), lose_answers: Some(0), ..Faults::default() });
+    for n in 0..12 {
+        let read = async || {
+            let path = operator::results_path(&format!("job-{n}"), 0);
+            site.send(Call::get(path).key(KEY)).await.json()["next"] == 1
+        };
+        wait_until(&format!("job {n} is finished"), read).await?;
+    }
+    Ok(())
+}
+
+// Guards against a job that stays claimed and is never run, because it could not be read right after its claim.
+#[async_std::test]
+async fn a_job_that_could_not_be_read_after_its_claim_is_run_later() -> io::Result<()> {
+    let target = Target::start(stream(2, 1)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
+    site.worker.pause();
+    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
+    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    faults(Faults { refuse_reads: Some(true), ..Faults::default() });
+    site.worker.resume();
+    task::sleep(Duration::from_millis(1_500)).await;
+    assert!(target.asked().is_empty());
+    faults(Faults { refuse_reads: Some(false), ..Faults::default() });
+    let read = async || {
+        let path = operator::results_path("job-1", 0);
+        site.send(Call::get(path).key(KEY)).await.json()["next"] == 1
+    };
+    wait_until("the job is finished", read).await
+}
+
 // Guards against an instance that is taken away while it holds work, and against an order without an answer.
 #[async_std::test]
 async fn an_instance_that_is_to_be_emptied_gives_up_its_work_and_says_so() -> io::Result<()> {
--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -114,6 +114,13 @@
         Self { head_start, ..self }
     }
 
+    /// Bounds the bytes of loan messages per second.
+    #[must_use]
+    pub fn with_loan_bytes(mut self, bytes_per_s: f64) -> Self {
+        self.traffic.set_rate(bytes_per_s);
+        self
+    }
+
     /// Puts a document in force.
     ///
     /// Levels never grow by it: a new account starts empty, and a limit that is raised fills at the new rate. Callers
--- a/crates/policy/src/rate/mod.rs
+++ b/crates/policy/src/rate/mod.rs
@@ -34,6 +34,7 @@
 pub use limiter::RateLimiter;
 pub use message::{ClosedLoan, RateMessage, RequestId};
 pub use tokens::Tokens;
+pub use traffic::LOAN_BYTES_PER_S;
 
 /// How long a borrower may spend a loan, on its own clock, after it sent the request.
 pub const LOAN_VALIDITY: Duration = Duration::from_millis(500);
--- a/crates/policy/src/rate/traffic.rs
+++ b/crates/policy/src/rate/traffic.rs
@@ -2,7 +2,8 @@
 
 use stdx::Timestamp;
 
-/// The part of the daemon's 13 KB/s of control traffic that loans may take; heartbeats and configuration take the rest.
+/// The part of the daemon's 13 KB/s of control traffic that loans may take, unless the caller configures otherwise;
+/// heartbeats and configuration take the rest.
 pub const LOAN_BYTES_PER_S: f64 = 8_000.0;
 /// Answers are sent somewhat past the bound: an unanswered request costs the asking peer its waiting time.
 const ANSWER_RESERVE_BYTES: f64 = 4_000.0;
@@ -10,6 +11,7 @@
 /// Bytes that may be sent, refilled over time and saved up for at most one second.
 #[derive(Debug)]
 pub struct Traffic {
+    bytes_per_s: f64,
     bytes: f64,
     at: Timestamp,
 }
@@ -17,7 +19,12 @@
 impl Traffic {
     /// Creates a full allowance.
     pub fn new(now: Timestamp) -> Self {
-        Self { bytes: LOAN_BYTES_PER_S, at: now }
+        Self { bytes_per_s: LOAN_BYTES_PER_S, bytes: LOAN_BYTES_PER_S, at: now }
+    }
+
+    /// Replaces the bytes that may be sent per second.
+    pub fn set_rate(&mut self, bytes_per_s: f64) {
+        self.bytes_per_s = bytes_per_s;
     }
 
     /// Takes the bytes of a request; `false` if it must not be sent.
@@ -31,8 +38,8 @@
     }
 
     fn take(&mut self, now: Timestamp, bytes: usize, least: f64) -> bool {
-        let refilled = self.bytes + now.since(self.at).as_secs_f64() * LOAN_BYTES_PER_S;
-        self.bytes = refilled.min(LOAN_BYTES_PER_S);
+        let refilled = self.bytes + now.since(self.at).as_secs_f64() * self.bytes_per_s;
+        self.bytes = refilled.min(self.bytes_per_s);
         self.at = self.at.max(now);
         let left = self.bytes - bytes as f64;
         let may_send = left >= least;
