Tell the claims of one job by one daemon apart

Cause: a daemon that lost its lease and claimed a job again applied what the earlier claim had left in its queue: the end of an item that was stopped, and the answer to a transaction. The first stored one item twice, so that the job had its number of results with another item missing; the second took over a revision without the results that belong to it. Change: each claim has a number, and events of another claim are ignored. A job ignores the end of an item that does not run and an answer without a transaction under way. A second claim while the job is owned keeps the first. Ruled out: a claim whose record could not be read (mended before, the failure stayed); a target that kept the item.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -36,7 +36,7 @@
 }
 
 enum Step {
-    Answered(Response),
+    Answered(Box<Response>),
     Failed(SendError),
     Interrupted(Option<Directive>),
 }
@@ -128,12 +128,12 @@
     let started = cx.clock.now();
     let sent = Box::pin(cx.client.send(address, &call.request_id, req));
     let step = match select(sent, Box::pin(admission.next())).await {
-        Either::Left((Ok(res), _)) => Step::Answered(res),
+        Either::Left((Ok(res), _)) => Step::Answered(Box::new(res)),
         Either::Left((Err(e), _)) => Step::Failed(e),
         Either::Right((directive, _)) => Step::Interrupted(directive),
     };
     let res = match step {
-        Step::Answered(res) => res,
+        Step::Answered(res) => *res,
         Step::Failed(e) if e.progress == Progress::NotSent => {
             admission.failed_before_send();
             return Attempt::Next(admission);
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -51,8 +51,8 @@
     Claimed { id: JobId, lease: LeaseId, loaded: Option<Box<JobRun>> },
     NotClaimed { id: JobId },
     ItemPlaced,
-    ItemEnded { id: JobId, index: usize, ended: Box<item::Ended> },
-    Committed { id: JobId, outcome: kv_store::Result<Committed> },
+    ItemEnded { id: JobId, claim: u64, index: usize, ended: Box<item::Ended> },
+    Committed { id: JobId, claim: u64, outcome: kv_store::Result<Committed> },
     Tick,
 }
 
@@ -75,11 +75,14 @@
     /// When to claim the jobs that nobody has claimed.
     claim_at: BTreeMap<JobId, Timestamp>,
     own: HashMap<JobId, OwnJob>,
+    /// Counts the claims of this daemon, so that what an earlier claim of a job left behind is told from the present one.
+    claims: u64,
     waiting: usize,
     run_times: RunTimes,
 }
 
 struct OwnJob {
+    claim: u64,
     run: JobRun,
     items: HashMap<usize, AbortHandle>,
     /// The items that were begun and wait to be continued.
@@ -120,6 +123,7 @@
         claimed: BTreeMap::new(),
         claim_at: BTreeMap::new(),
         own: HashMap::new(),
+        claims: 0,
         waiting: 0,
         run_times: RunTimes::default(),
     };
@@ -164,8 +168,10 @@
                 }
             }
             Event::ItemPlaced => self.waiting = self.waiting.saturating_sub(1),
-            Event::ItemEnded { id, index, ended } => self.on_item_ended(&id, index, *ended),
-            Event::Committed { id, outcome } => self.on_committed(&id, outcome),
+            Event::ItemEnded { id, claim, index, ended } => {
+                self.on_item_ended(&id, claim, index, *ended)
+            }
+            Event::Committed { id, claim, outcome } => self.on_committed(&id, claim, outcome),
             Event::Tick => {}
         }
     }
@@ -258,18 +264,23 @@
     fn on_claimed(&mut self, id: JobId, lease: LeaseId, loaded: Option<Box<JobRun>>) {
         // Another daemon was quicker, or the job has ended.
         let Some(run) = loaded else { return };
-        if self.lease != Some(lease) {
+        if self.lease != Some(lease) || self.own.contains_key(&id) {
             return;
         }
+        self.claims += 1;
         info!(
             self.cx.log, "job claimed";
             "job" => id.as_str(), "items" => run.record().total, "listed" => run.record().listed.len()
         );
         let commit_after = self.cx.clock.now();
-        self.own.insert(
-            id,
-            OwnJob { run: *run, items: HashMap::new(), begun: HashMap::new(), commit_after },
-        );
+        let job = OwnJob {
+            claim: self.claims,
+            run: *run,
+            items: HashMap::new(),
+            begun: HashMap::new(),
+            commit_after,
+        };
+        self.own.insert(id, job);
     }
 
     fn drop_job(&mut self, id: &JobId, reason: &'static str) {
@@ -278,8 +289,8 @@
         }
     }
 
-    fn on_item_ended(&mut self, id: &JobId, index: usize, ended: item::Ended) {
-        let Some(job) = self.own.get_mut(id) else { return };
+    fn on_item_ended(&mut self, id: &JobId, claim: u64, index: usize, ended: item::Ended) {
+        let Some(job) = self.own.get_mut(id).filter(|it| it.claim == claim) else { return };
         job.items.remove(&index);
         let ran_for = ended.ran_for + job.begun.remove(&index).unwrap_or_default().ran_for;
         match ended.end {
@@ -336,6 +347,7 @@
         };
         let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
+        let claim = job.claim;
         let placed_tx = events.clone();
         // Made outside the task, so that an item that is stopped before its task has begun is told of as well.
         let mut placed = Placed { events: placed_tx, is_told: false };
@@ -343,7 +355,7 @@
             let ended = item::run(&cx, &call, output, || placed.tell()).await;
             drop(placed);
             // The worker may have ended.
-            let _ = events.try_send(Event::ItemEnded { id, index, ended: Box::new(ended) });
+            let _ = events.try_send(Event::ItemEnded { id, claim, index, ended: Box::new(ended) });
         });
         job.items.insert(index, handle);
         self.waiting += 1;
@@ -354,18 +366,18 @@
         for job in self.own.values_mut().filter(|it| it.commit_after <= now) {
             let Some(transaction) = job.run.commit(unix_ms) else { continue };
             job.commit_after = now + COMMIT_GAP;
-            let id = job.run.id().clone();
+            let (id, claim) = (job.run.id().clone(), job.claim);
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
             task::spawn(async move {
                 let outcome = cx.store.commit(&transaction).await;
-                let _ = events.try_send(Event::Committed { id, outcome });
+                let _ = events.try_send(Event::Committed { id, claim, outcome });
             });
         }
     }
 
-    fn on_committed(&mut self, id: &JobId, outcome: kv_store::Result<Committed>) {
+    fn on_committed(&mut self, id: &JobId, claim: u64, outcome: kv_store::Result<Committed>) {
         let now = self.cx.clock.now();
-        let Some(job) = self.own.get_mut(id) else { return };
+        let Some(job) = self.own.get_mut(id).filter(|it| it.claim == claim) else { return };
         match outcome {
             Ok(Committed::Won(revision)) => {
                 job.run.on_committed(revision);
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -1,6 +1,6 @@
 //! The owner's view of a job.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use kv_store::{Revision, Transaction};
 use stdx::{Name, record_type};
@@ -45,6 +45,7 @@
     items: Vec<Item>,
     /// The indexes of the items that wait.
     waiting: VecDeque<usize>,
+    running: BTreeSet<usize>,
     failures: Vec<u32>,
     /// Results that are not stored yet.
     unsaved: VecDeque<(usize, ItemResult)>,
@@ -72,6 +73,7 @@
             route,
             items,
             waiting,
+            running: BTreeSet::new(),
             failures,
             unsaved: VecDeque::new(),
             saving: 0,
@@ -102,10 +104,14 @@
     /// Takes an item that waits to be run.
     pub fn take_item(&mut self, index: usize) {
         self.waiting.retain(|it| *it != index);
+        self.running.insert(index);
     }
 
-    /// Notes how a run of an item ended.
+    /// Notes how a run of an item ended; an item that does not run is left as it is, so that none is stored twice.
     pub fn on_end(&mut self, index: usize, end: ItemEnd, unix_ms: u64) {
+        if !self.running.remove(&index) {
+            return;
+        }
         let result = match end {
             ItemEnd::Completed { text } => Some((ItemState::Completed, text)),
             ItemEnd::Impossible => Some((ItemState::Failed, String::new())),
@@ -120,10 +126,7 @@
             }
         };
         match result {
-            Some((state, text)) => {
-                let id = self.items[index].id.clone();
-                self.unsaved.push_back((index, ItemResult { id, state, text }));
-            }
+            Some((state, text)) => self.add_result(index, state, text),
             None => self.waiting.push_back(index),
         }
     }
@@ -134,7 +137,7 @@
             return;
         }
         for index in std::mem::take(&mut self.waiting) {
-            self.on_end(index, ItemEnd::Interrupted, unix_ms);
+            self.add_result(index, ItemState::Failed, String::new());
         }
     }
 
@@ -172,8 +175,11 @@
         Some(transaction.write(self.id.open(), encode(&self.open_entry(&record))))
     }
 
-    /// Notes that the transaction under way took effect.
+    /// Notes that the transaction under way took effect; without one the stored record is not known to be this one.
     pub fn on_committed(&mut self, revision: Revision) {
+        if self.saving == 0 {
+            return;
+        }
         for (index, _) in self.unsaved.drain(..self.saving) {
             self.record.listed.push(index);
         }
@@ -191,6 +197,11 @@
         self.record.is_ended()
     }
 
+    fn add_result(&mut self, index: usize, state: ItemState, text: String) {
+        let id = self.items[index].id.clone();
+        self.unsaved.push_back((index, ItemResult { id, state, text }));
+    }
+
     fn open_entry(&self, record: &JobRecord) -> OpenJob {
         let left = (0..self.items.len()).filter(|it| !record.listed.contains(it));
         OpenJob {
--- a/crates/jobs/tests/run.rs
+++ b/crates/jobs/tests/run.rs
@@ -92,3 +92,31 @@
     let stored = results(&run.commit(RECEIVED_MS + 60_000).expect("results"));
     assert_eq!(stored.len(), 2);
 }
+
+// Guards against an item that is stored twice, which makes a job end with another item missing.
+#[test]
+fn an_end_of_an_item_that_does_not_run_changes_nothing() {
+    let mut run = run(vec![item("a", 0), item("b", 0)]);
+    run.on_end(0, done("of an earlier claim"), RECEIVED_MS);
+    assert_eq!(run.commit(RECEIVED_MS), None);
+    run.take_item(0);
+    run.on_end(0, done("first"), RECEIVED_MS);
+    run.on_end(0, done("again"), RECEIVED_MS);
+    let stored = results(&run.commit(RECEIVED_MS).expect("one result"));
+    assert_eq!(stored.iter().map(|(_, it)| &*it.text).collect::<Vec<_>>(), ["first"]);
+    run.on_committed(Revision(9));
+    run.on_end(0, done("late"), RECEIVED_MS);
+    assert_eq!(run.commit(RECEIVED_MS), None);
+    assert_eq!(run.waiting().collect::<Vec<_>>(), [1]);
+}
+
+// Guards against the answer to a transaction of an earlier claim, which would make the next one overwrite results.
+#[test]
+fn an_answer_without_a_transaction_under_way_changes_nothing() {
+    let mut run = run(vec![item("a", 0)]);
+    run.on_committed(Revision(9));
+    run.take_item(0);
+    run.on_end(0, done("first"), RECEIVED_MS);
+    let transaction = run.commit(RECEIVED_MS).expect("one result");
+    assert_eq!(transaction.expected[0].revision, Revision(5));
+}
