Register again if it is not known whether the registration was written

Cause: a daemon whose record was written with a lost answer and no trace kept the lease without the record, so that nobody dialled it until it started again. Change: the record is written again under a new lease. The renewal of leases, which stood twice, is one function. Ruled out: following the own record, which needs more state for the same.

--- a/crates/borageshed/src/job_work/lease.rs
+++ b/crates/borageshed/src/job_work/lease.rs
@@ -3,10 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use kv_store::{Error, LeaseId};
-use slog::{debug, info, warn};
+use kv_store::LeaseId;
+use slog::{debug, info};
 
-use crate::shared::Shared;
+use crate::{leases, shared::Shared};
 
 /// The time to live; the jobs of a daemon that is lost are taken over after it.
 const TTL: Duration = Duration::from_secs(4);
@@ -39,32 +39,11 @@
         if events.send(LeaseEvent::Granted(lease)).await.is_err() {
             return;
         }
-        keep(&cx, lease).await;
+        // A service that does not answer says nothing about the lease, so claimed jobs go on during an outage. Their results
+        // are stored by compare-and-swap, which fails if another daemon has taken the job over.
+        leases::keep(&cx, lease, RENEWAL, "claims").await;
         if events.send(LeaseEvent::Lost).await.is_err() {
             return;
         }
     }
 }
-
-/// Renews a lease until it is gone or the daemon drains.
-///
-/// A service that does not answer says nothing about the lease, so claimed jobs go on during an outage. Their results are
-/// stored by compare-and-swap, which fails if another daemon has taken the job over.
-async fn keep(cx: &Shared, lease: LeaseId) {
-    loop {
-        if async_std::future::timeout(RENEWAL, cx.draining.wait()).await.is_ok() {
-            if let Err(e) = cx.store.lease_revoke(lease).await {
-                debug!(cx.log, "lease not ended; it lapses by itself"; "error" => %e);
-            }
-            return;
-        }
-        match cx.store.lease_keep_alive(lease).await {
-            Ok(_) => cx.platform_answered(),
-            Err(Error::LeaseGone) => {
-                warn!(cx.log, "lease lapsed"; "lease" => lease.0);
-                return;
-            }
-            Err(e) => debug!(cx.log, "lease not renewed"; "lease" => lease.0, "error" => %e),
-        }
-    }
-}
--- a/crates/borageshed/src/job_work/mod.rs
+++ b/crates/borageshed/src/job_work/mod.rs
@@ -1,9 +1,13 @@
 //! Runs batch jobs whose items come with their submission.
 //!
 //! - [`worker`]: the task that claims jobs, starts their items and stores their results.
+//! - [`index`]: which jobs are unfinished and which are claimed.
+//! - [`claiming`]: claims a job and reads it.
 //! - [`item`]: runs one item through the same dispatcher as online requests.
 //! - [`lease`]: the lease under which jobs are claimed.
 
+pub mod claiming;
+pub mod index;
 pub mod item;
 pub mod lease;
 pub mod worker;
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -6,21 +6,24 @@
     time::Duration,
 };
 
-use async_std::{future::timeout, task};
+use async_std::task;
 use futures::future::{AbortHandle, Either, abortable, select};
 use http_types::{Method, headers::HeaderValue};
 use jobs::{
     ItemEnd, JobId, JobRecord, JobRun, OpenJob, claim,
-    key::{CLAIM_PREFIX, OPEN_PREFIX},
-    model,
     order::{Candidate, RunTimes},
 };
-use kv_store::{Committed, LeaseId, Revision, WatchEvent};
+use kv_store::{Committed, LeaseId};
 use policy::dispatch::Class;
-use slog::{debug, info, warn};
+use slog::{debug, info};
 use stdx::{Name, Timestamp};
 
-use super::{item, lease::LeaseEvent};
+use super::{
+    claiming,
+    index::{self, IndexChange},
+    item,
+    lease::LeaseEvent,
+};
 use crate::{
     clock,
     online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS, event_data::EventData},
@@ -36,12 +39,10 @@
 const MAX_ITEMS: usize = 96;
 /// The pause before a claim is tried again that failed.
 const CLAIM_RETRY: Duration = Duration::from_millis(500);
-/// The pause before the index is read again after a failure.
-const INDEX_RETRY: Duration = Duration::from_millis(300);
-/// How often the index is read again, in case the service has dropped a change that a watch should have shown.
-const INDEX_REREAD: Duration = Duration::from_secs(6);
 /// The least time between two transactions of a job, so that results that arrive together share one.
 const COMMIT_GAP: Duration = Duration::from_millis(120);
+/// The pause before results are stored again after a failure.
+const COMMIT_RETRY: Duration = Duration::from_millis(300);
 /// The longest time that a target gets for an item.
 const MAX_ITEM_TIME: Duration = Duration::from_secs(120);
 
@@ -56,14 +57,6 @@
     Tick,
 }
 
-enum IndexChange {
-    Listed { open: BTreeMap<JobId, OpenJob>, claimed: Vec<JobId> },
-    Open(JobId, OpenJob),
-    Closed(JobId),
-    Claimed(JobId, Name),
-    ClaimEnded(JobId),
-}
-
 struct Worker {
     cx: Arc<Shared>,
     events: async_channel::Sender<Event>,
@@ -106,7 +99,10 @@
 /// Runs until the daemon drains; claims end with the lease then.
 pub async fn run(cx: Arc<Shared>, peers: Peers, leases: async_channel::Receiver<LeaseEvent>) {
     let (events, inbox) = async_channel::unbounded();
-    task::spawn(follow_index(Arc::clone(&cx), events.clone()));
+    let tx = events.clone();
+    // Sending fails once the worker has ended.
+    let on_change = move |change| tx.try_send(Event::Index(change)).is_ok();
+    task::spawn(index::follow(Arc::clone(&cx), on_change));
     let tx = events.clone();
     task::spawn(async move {
         while let Ok(event) = leases.recv().await {
@@ -248,7 +244,7 @@
             let Some(route) = self.open.get(&id).map(|it| it.route.clone()) else { continue };
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
             task::spawn(async move {
-                let event = match claim_job(&cx, &id, lease, route).await {
+                let event = match claiming::claim(&cx, &id, lease, route).await {
                     Ok(loaded) => Event::Claimed { id, lease, loaded: loaded.map(Box::new) },
                     Err(e) => {
                         debug!(cx.log, "job not claimed"; "job" => id.as_str(), "error" => %e);
@@ -396,7 +392,7 @@
             }
             Err(e) => {
                 job.run.on_not_committed();
-                job.commit_after = now + INDEX_RETRY;
+                job.commit_after = now + COMMIT_RETRY;
                 debug!(self.cx.log, "results not stored"; "job" => id.as_str(), "error" => %e);
             }
         }
@@ -439,48 +435,6 @@
     }
 }
 
-/// Claims a job and reads what is stored of it; `None` if somebody else has it or it has ended.
-async fn claim_job(
-    cx: &Shared,
-    id: &JobId,
-    lease: LeaseId,
-    route: Name,
-) -> kv_store::Result<Option<JobRun>> {
-    let transaction = claim::transaction(id, &cx.settings.instance, lease);
-    match cx.store.commit(&transaction).await? {
-        Committed::Won(_) => {}
-        // An earlier call made the claim, and the job could not be read then.
-        Committed::Lost(entries) if entries.iter().any(|it| is_own_claim(cx, it, lease)) => {}
-        Committed::Lost(_) => return Ok(None),
-        Committed::Unknown => {
-            return Err(kv_store::Error::AnswerLost("the claim is not confirmed".to_owned()));
-        }
-    }
-    load_job(cx, id, route).await
-}
-
-fn is_own_claim(cx: &Shared, entry: &kv_store::Entry, lease: LeaseId) -> bool {
-    entry.lease == Some(lease) && entry.value == cx.settings.instance.as_bytes()
-}
-
-async fn load_job(cx: &Shared, id: &JobId, route: Name) -> kv_store::Result<Option<JobRun>> {
-    let damaged = |key: &str, e: serde_json::Error| {
-        kv_store::Error::Protocol(format!("the stored value {key} cannot be read: {e}"))
-    };
-    let Some(entry) = cx.store.get(&id.record()).await? else { return Ok(None) };
-    let record: JobRecord =
-        serde_json::from_slice(&entry.value).map_err(|e| damaged(&entry.key, e))?;
-    if record.is_ended() {
-        return Ok(None);
-    }
-    let mut items = Vec::with_capacity(record.total);
-    for part in cx.store.range(&id.parts()).await?.entries {
-        items.extend(model::items_of_part(&part.value).map_err(|e| damaged(&part.key, e))?);
-    }
-    let revision: Revision = entry.mod_revision;
-    Ok(Some(JobRun::new(id.clone(), record, revision, route, items)))
-}
-
 fn call_of(cx: &Shared, record: &JobRecord, item: &jobs::Item, unix_ms: u64) -> Call {
     let left = Duration::from_millis(record.give_up_ms.saturating_sub(unix_ms));
     let time = left.clamp(Duration::from_secs(1), MAX_ITEM_TIME);
@@ -516,60 +470,3 @@
         }),
     }
 }
-
-/// Follows the index of unfinished jobs and the claims until the worker ends.
-async fn follow_index(cx: Arc<Shared>, events: async_channel::Sender<Event>) {
-    while !events.is_closed() {
-        if let Err(e) = follow_once(&cx, &events).await {
-            warn!(cx.log, "index of jobs not read"; "error" => %e);
-            task::sleep(INDEX_RETRY).await;
-        }
-    }
-}
-
-async fn follow_once(cx: &Shared, events: &async_channel::Sender<Event>) -> kv_store::Result<()> {
-    let claims = cx.store.range(CLAIM_PREFIX).await?;
-    let index = cx.store.range(OPEN_PREFIX).await?;
-    cx.platform_answered();
-    let open = index.entries.iter().filter_map(|it| open_job(cx, it)).collect();
-    let claimed = claims.entries.iter().filter_map(|it| JobId::of_claim(&it.key)).collect();
-    let _ = events.try_send(Event::Index(IndexChange::Listed { open, claimed }));
-    let opened = cx.store.watch(OPEN_PREFIX, index.revision.next());
-    let claimed = cx.store.watch(CLAIM_PREFIX, claims.revision.next());
-    let until = cx.clock.now() + INDEX_REREAD;
-    loop {
-        let next = select(Box::pin(opened.next()), Box::pin(claimed.next()));
-        let Ok(next) = timeout(until.since(cx.clock.now()), next).await else { return Ok(()) };
-        let (Either::Left((event, _)) | Either::Right((event, _))) = next;
-        let change = match event {
-            Some(WatchEvent::Put(entry)) if entry.key.starts_with(CLAIM_PREFIX) => {
-                let owner = Name::new(String::from_utf8_lossy(&entry.value));
-                JobId::of_claim(&entry.key).map(|id| IndexChange::Claimed(id, owner))
-            }
-            Some(WatchEvent::Put(entry)) => {
-                open_job(cx, &entry).map(|(id, job)| IndexChange::Open(id, job))
-            }
-            Some(WatchEvent::Delete { key, .. }) if key.starts_with(CLAIM_PREFIX) => {
-                JobId::of_claim(&key).map(IndexChange::ClaimEnded)
-            }
-            Some(WatchEvent::Delete { key, .. }) => JobId::of_open(&key).map(IndexChange::Closed),
-            Some(WatchEvent::Reset) | None => return Ok(()),
-        };
-        if let Some(change) = change
-            && events.try_send(Event::Index(change)).is_err()
-        {
-            return Ok(());
-        }
-    }
-}
-
-fn open_job(cx: &Shared, entry: &kv_store::Entry) -> Option<(JobId, OpenJob)> {
-    let id = JobId::of_open(&entry.key)?;
-    match serde_json::from_slice(&entry.value) {
-        Ok(job) => Some((id, job)),
-        Err(e) => {
-            warn!(cx.log, "index entry of a job cannot be read"; "key" => %entry.key, "error" => %e);
-            None
-        }
-    }
-}
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`in_force`], [`config_sync`]: the configuration in force and how it is kept up to date.
 //! - [`operator`]: configuration and targets as the platform's operator declares them.
 //! - [`directory`]: where the targets listen.
+//! - [`leases`]: keeps leases of the key-value service alive.
 //! - [`load_reports`]: the load that targets report.
 //! - [`membership`], [`peers`], [`loans`], [`suspects`]: other daemons.
 //! - [`silence`]: silent connections to targets.
@@ -36,6 +37,7 @@
 pub mod in_force;
 pub mod job_work;
 pub mod known_jobs;
+pub mod leases;
 pub mod load_reports;
 pub mod loans;
 pub mod logging;
--- a/crates/borageshed/src/membership.rs
+++ b/crates/borageshed/src/membership.rs
@@ -2,14 +2,15 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use async_std::{future::timeout, task};
+use async_std::task;
 use fleet::{MEMBERS_PREFIX, MemberRecord};
-use kv_store::{Entry, Error, LeaseId, Outcome, WatchEvent};
+use kv_store::{Entry, Error, LeaseId, Outcome, Store, WatchEvent};
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
 
 use crate::{
     control::ControlEvent,
+    leases,
     peers::{PeerInfo, Peers},
     shared::Shared,
 };
@@ -35,8 +36,12 @@
     };
     let value = serde_json::to_vec(&record).expect("a record is plain JSON");
     while !cx.draining.is_set() {
-        match begin(&cx, &value).await {
-            Ok(lease) => keep(&cx, lease).await,
+        match write_record(&*cx.store, &cx.settings.instance, &value).await {
+            Ok(lease) => {
+                info!(cx.log, "daemon registered"; "lease" => lease.0);
+                cx.platform_answered();
+                leases::keep(&cx, lease, RENEWAL, "registration").await;
+            }
             Err(e) => {
                 debug!(cx.log, "daemon not registered"; "error" => %e);
                 task::sleep(RETRY).await;
@@ -45,33 +50,23 @@
     }
 }
 
-async fn begin(cx: &Shared, value: &[u8]) -> kv_store::Result<LeaseId> {
-    let lease = cx.store.lease_grant(TTL).await?;
-    let key = format!("{MEMBERS_PREFIX}{}", cx.settings.instance);
-    match cx.store.put_with_lease(&key, value, lease).await? {
-        Outcome::Won(_) => info!(cx.log, "daemon registered"; "lease" => lease.0),
-        outcome => info!(cx.log, "daemon may not be registered"; "outcome" => ?outcome),
-    }
-    cx.platform_answered();
-    Ok(lease)
-}
-
-/// Renews a lease until it is gone or the daemon drains.
-async fn keep(cx: &Shared, lease: LeaseId) {
-    loop {
-        if timeout(RENEWAL, cx.draining.wait()).await.is_ok() {
-            if let Err(e) = cx.store.lease_revoke(lease).await {
-                debug!(cx.log, "registration not removed; it lapses by itself"; "error" => %e);
-            }
-            return;
-        }
-        match cx.store.lease_keep_alive(lease).await {
-            Ok(_) => cx.platform_answered(),
-            Err(Error::LeaseGone) => {
-                warn!(cx.log, "registration lapsed"; "lease" => lease.0);
-                return;
-            }
-            Err(e) => debug!(cx.log, "registration not renewed"; "lease" => lease.0, "error" => %e),
+/// Writes the record of an instance under a new lease.
+///
+/// # Errors
+///
+/// Fails if the service does not answer. The record may have been written, but is not relied on: without it nobody would
+/// dial this daemon, as long as its lease is renewed.
+pub async fn write_record(
+    store: &dyn Store,
+    instance: &str,
+    value: &[u8],
+) -> kv_store::Result<LeaseId> {
+    let lease = store.lease_grant(TTL).await?;
+    let key = format!("{MEMBERS_PREFIX}{instance}");
+    match store.put_with_lease(&key, value, lease).await? {
+        Outcome::Won(_) => Ok(lease),
+        Outcome::Lost(_) | Outcome::Unknown => {
+            Err(Error::AnswerLost(format!("it is not known whether {key} was written")))
         }
     }
 }
