Take a job up again whose results may have been stored

Cause: a daemon that did not learn the outcome of a transaction gave the job up and removed its claim. In an outage the removal failed as well, and the claim stayed under the lease that the daemon goes on renewing: nobody ran the job again. Change: the claim is kept and the job is read anew under it. A claim of this daemon whose job it does not run counts as free when the index is read. Ruled out: repeating the removal until it succeeds, which leaves the job without an owner for longer.

--- a/crates/borageshed/src/job_work/index.rs
+++ b/crates/borageshed/src/job_work/index.rs
@@ -26,8 +26,8 @@
     Listed {
         /// The unfinished jobs.
         open: BTreeMap<JobId, OpenJob>,
-        /// The jobs that somebody has claimed.
-        claimed: Vec<JobId>,
+        /// The jobs that are claimed, with the instance that did.
+        claimed: BTreeMap<JobId, Name>,
     },
     /// A job was accepted, or its entry was written again.
     Open(JobId, OpenJob),
@@ -62,7 +62,7 @@
     let index = cx.store.range(OPEN_PREFIX).await?;
     cx.platform_answered();
     let open = index.entries.iter().filter_map(|it| open_job(cx, it)).collect();
-    let claimed = claims.entries.iter().filter_map(|it| JobId::of_claim(&it.key)).collect();
+    let claimed = claims.entries.iter().filter_map(claim).collect();
     if !on_change(IndexChange::Listed { open, claimed }) {
         return Ok(false);
     }
@@ -75,8 +75,7 @@
         let (Either::Left((event, _)) | Either::Right((event, _))) = next;
         let change = match event {
             Some(WatchEvent::Put(entry)) if entry.key.starts_with(CLAIM_PREFIX) => {
-                let owner = Name::new(String::from_utf8_lossy(&entry.value));
-                JobId::of_claim(&entry.key).map(|id| IndexChange::Claimed(id, owner))
+                claim(&entry).map(|(id, owner)| IndexChange::Claimed(id, owner))
             }
             Some(WatchEvent::Put(entry)) => {
                 open_job(cx, &entry).map(|(id, job)| IndexChange::Open(id, job))
@@ -95,6 +94,11 @@
     }
 }
 
+fn claim(entry: &kv_store::Entry) -> Option<(JobId, Name)> {
+    let owner = Name::new(String::from_utf8_lossy(&entry.value));
+    Some((JobId::of_claim(&entry.key)?, owner))
+}
+
 fn open_job(cx: &Shared, entry: &kv_store::Entry) -> Option<(JobId, OpenJob)> {
     let id = JobId::of_open(&entry.key)?;
     match serde_json::from_slice(&entry.value) {
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -63,8 +63,8 @@
     peers: Peers,
     lease: Option<LeaseId>,
     open: BTreeMap<JobId, OpenJob>,
-    /// The jobs that somebody has claimed.
-    claimed: BTreeMap<JobId, ()>,
+    /// The jobs that are claimed, with the instance that did.
+    claimed: BTreeMap<JobId, Name>,
     /// When to claim the jobs that nobody has claimed.
     claim_at: BTreeMap<JobId, Timestamp>,
     own: HashMap<JobId, OwnJob>,
@@ -179,7 +179,7 @@
                 let closed: Vec<JobId> =
                     self.own.keys().filter(|it| !open.contains_key(*it)).cloned().collect();
                 self.open = open;
-                self.claimed = claimed.into_iter().map(|it| (it, ())).collect();
+                self.claimed = claimed;
                 closed.iter().for_each(|it| self.drop_job(it, "job ended"));
                 self.claim_at.retain(|it, _| self.open.contains_key(it));
                 for id in self.open.keys().cloned().collect::<Vec<_>>() {
@@ -203,7 +203,7 @@
                 if owner != self.cx.settings.instance {
                     self.claim_at.remove(&id);
                 }
-                self.claimed.insert(id, ());
+                self.claimed.insert(id, owner);
             }
             IndexChange::ClaimEnded(id) => {
                 self.claimed.remove(&id);
@@ -214,7 +214,8 @@
 
     fn plan_claim(&mut self, now: Timestamp, id: JobId) {
         let is_free = self.open.contains_key(&id)
-            && !self.claimed.contains_key(&id)
+            // A claim of this daemon whose job it does not run is taken up again.
+            && self.claimed.get(&id).is_none_or(|it| *it == self.cx.settings.instance)
             && !self.own.contains_key(&id)
             && !self.claim_at.contains_key(&id);
         if is_free {
@@ -398,10 +399,13 @@
         }
     }
 
-    /// Gives a job up whose record has changed; whoever claims it next reads it anew.
+    /// Gives a job up whose record has changed and reads it anew soon. The claim stays: removing it may fail in the same outage
+    /// that hid the outcome, and a job that is claimed but not run would wait for ever.
     fn lose_job(&mut self, id: &JobId, reason: &'static str) {
         self.drop_job(id, reason);
-        self.end_claim(id);
+        if self.open.contains_key(id) {
+            self.claim_at.insert(id.clone(), self.cx.clock.now() + CLAIM_RETRY);
+        }
     }
 
     fn end_claim(&self, id: &JobId) {
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -86,6 +86,11 @@
     async fn send(&self, call: Call) -> Reply {
         call.header("host", HOST).send(self.callers()).await.expect("an answer")
     }
+
+    fn stored_results(&self, job: &str) -> usize {
+        let prefix = format!("work/job/{job}/results/");
+        self.platform.with_kv(|kv| kv.range(&prefix, None).items.len())
+    }
 }
 
 async fn wait_until(what: &str, is_so: impl AsyncFn() -> bool) -> io::Result<()> {
@@ -426,6 +431,30 @@
     wait_until("the job is finished", read).await
 }
 
+// Guards against a job that its own daemon keeps claimed without running it, because the claim could not be removed when the
+// outcome of a transaction was unknown.
+#[async_std::test]
+async fn a_job_whose_results_may_be_stored_goes_on_after_the_outage() -> io::Result<()> {
+    let target = Target::start(stream(4, 100)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
+    let submit =
+        Call::post(JOBS, operator::job(&["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"])).key(KEY);
+    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    wait_until("an item runs", async || !target.asked().is_empty()).await?;
+    faults(Faults { refuse_reads: Some(true), lose_answers: Some(1_000), ..Faults::default() });
+    wait_until("a result is stored", async || site.stored_results("job-1") > 0).await?;
+    faults(Faults { outage: Some(true), ..Faults::default() });
+    task::sleep(Duration::from_millis(1_500)).await;
+    let (outage, refuse_reads) = (Some(false), Some(false));
+    faults(Faults { outage, refuse_reads, lose_answers: Some(0), ..Faults::default() });
+    let read = async || {
+        let path = operator::results_path("job-1", 0);
+        site.send(Call::get(path).key(KEY)).await.json()["next"] == 6
+    };
+    wait_until("the job is finished", read).await
+}
+
 // Guards against an instance that is taken away while it holds work, and against an order without an answer.
 #[async_std::test]
 async fn an_instance_that_is_to_be_emptied_gives_up_its_work_and_says_so() -> io::Result<()> {
