Do not say that the end of a job has not run when it may have

Cause: a call that ends a job tries again after an unknown outcome; if the store was away at the second try, the caller got 503 and "not run", although the first may have taken effect. Change: after an unknown outcome every failure is answered 504 without a promise. An index entry that cannot be read is logged when the waiting tokens of an account are counted; the pause between reports of emptying is a named constant. Ruled out: looking for the write by its token once more, which the store's client has done already.

--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -10,7 +10,7 @@
 };
 use kv_store::{Committed, Entry, Error, Revision};
 use platform::{ingress::RequestHints, jobs as wire, jobs::JobCall};
-use slog::info;
+use slog::{info, warn};
 
 use super::{Request, Result, identity::Identity, read_body};
 use crate::{clock, shared::Shared};
@@ -181,18 +181,27 @@
 }
 
 async fn end(cx: &Shared, identity: &Identity, id: &JobId) -> Result<Response> {
+    let mut may_have_ended = false;
     for _ in 0..MAX_CANCEL_TRIES {
-        let job = owned(cx, identity, id).await?;
+        let job = match owned(cx, identity, id).await {
+            Err(_) if may_have_ended => break,
+            read => read?,
+        };
         if job.record.is_ended() {
             return Ok(Response::new(StatusCode::Ok));
         }
         let transaction = model::cancellation(id, &job.record, job.revision);
-        let committed = cx.store.commit(&transaction).await.map_err(store_problem)?;
+        let committed = match cx.store.commit(&transaction).await {
+            Err(_) if may_have_ended => break,
+            committed => committed.map_err(store_problem)?,
+        };
         info!(cx.log, "job ended by its account"; "request" => id.as_str(), "outcome" => ?outcome_name(&committed));
         match committed {
             Committed::Won(_) => return Ok(Response::new(StatusCode::Ok)),
             // The owner stored a result meanwhile.
-            Committed::Lost(_) | Committed::Unknown => {}
+            Committed::Lost(_) => {}
+            // From here on nobody may be told that nothing has happened.
+            Committed::Unknown => may_have_ended = true,
         }
     }
     Err(Problem::new(
@@ -221,8 +230,14 @@
 
 async fn open_jobs(cx: &Shared) -> kv_store::Result<Vec<OpenJob>> {
     let listing = cx.store.range(OPEN_PREFIX).await?;
-    let entries = listing.entries.iter();
-    Ok(entries.filter_map(|it| serde_json::from_slice(&it.value).ok()).collect())
+    let read = |entry: &Entry| match serde_json::from_slice(&entry.value) {
+        Ok(job) => Some(job),
+        Err(e) => {
+            warn!(cx.log, "index entry of a job cannot be read"; "key" => %entry.key, "error" => %e);
+            None
+        }
+    };
+    Ok(listing.entries.iter().filter_map(read).collect())
 }
 
 fn accepted() -> Response {
--- a/crates/borageshed/src/retirement.rs
+++ b/crates/borageshed/src/retirement.rs
@@ -1,6 +1,6 @@
 //! Empties this instance when the operator is about to take it away.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
 use platform::retirement::{self, Progress};
@@ -10,6 +10,8 @@
 
 /// How often a report to the operator is tried that the store did not take.
 const MAX_TRIES: u32 = 20;
+/// The pause between two tries.
+const RETRY: Duration = Duration::from_millis(200);
 
 /// Waits for an order to empty the instance, and carries it out.
 ///
@@ -39,7 +41,7 @@
             }
             Err(e) => {
                 warn!(cx.log, "operator not told how far emptying has come"; "error" => %e);
-                task::sleep(std::time::Duration::from_millis(200)).await;
+                task::sleep(RETRY).await;
             }
         }
     }
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -341,6 +341,28 @@
     Ok(())
 }
 
+// Guards against an end of a job that is said not to have run although it may have.
+#[async_std::test]
+async fn an_end_of_a_job_that_may_have_taken_effect_is_not_refused() -> io::Result<()> {
+    let target = Target::start(stream(100, 100)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
+    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    let path = operator::results_path("job-1", 0);
+    let path = path.split('?').next().expect("a path").to_owned();
+    let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
+    // The record is read after 200 ms and the end is stored after 400 ms; later reads fail.
+    faults(Faults { delay_ms: Some(200), lose_answers: Some(1_000), ..Faults::default() });
+    let refuse_reads = async {
+        task::sleep(Duration::from_millis(300)).await;
+        faults(Faults { refuse_reads: Some(true), ..Faults::default() });
+    };
+    let end = site.send(Call::get(path).method(Method::Delete).key(KEY));
+    let (reply, ()) = futures::join!(end, refuse_reads);
+    assert_eq!(reply.status, 504);
+    Ok(())
+}
+
 // Guards against a refusal of a job that was stored, and against a job that is stored although it was refused.
 #[async_std::test]
 async fn a_job_is_refused_only_if_nothing_was_stored() -> io::Result<()> {
