--- a/crates/policy/tests/dispatch_attempts.rs
+++ b/crates/policy/tests/dispatch_attempts.rs
@@ -125,3 +125,35 @@
         |it: &Action| matches!(it, Action::HealthChanged { health: HealthState::HeldDown, .. });
     assert!(told.iter().any(is_told), "{told:?}");
 }
+
+// Guards against a verdict on innocent requests when a cut network ends the connections to many targets at once.
+#[test]
+fn deaths_of_many_targets_at_once_prove_nothing_against_a_request() {
+    let names = ["t1", "t2", "t3", "t4", "t5"];
+    let mut bench = Bench::new(&names.map(|it| target(it, "z1", 1)));
+    let mut on: Vec<(u64, Name)> = Vec::new();
+    for id in 1..=4 {
+        on.extend(dispatches(&bench.submit(online(id))));
+    }
+    let mut actions = Vec::new();
+    let mut strike = |bench: &mut Bench, id: u64| {
+        let done = bench.event(failed(id, FailureCause::ConnectionLost));
+        let placed = dispatches(&done);
+        actions.extend(done);
+        placed
+    };
+    let mut again = Vec::new();
+    for id in 1..=4 {
+        again.extend(strike(&mut bench, id));
+    }
+    for _ in 0..10 {
+        let done = bench.pass(Duration::from_millis(50));
+        again.extend(dispatches(&done));
+    }
+    for (id, _) in again {
+        strike(&mut bench, id);
+    }
+    actions.extend(bench.pass(3 * SECOND));
+    let poisoned = refusals(&actions).into_iter().filter(|(_, it)| *it == Reason::Poison);
+    assert_eq!(poisoned.count(), 0);
+}
