Run a condemned item once more, and end it at the second verdict

Cause: an item that was on two targets which a cut network made look dead was condemned as poison for an hour and left lying. Change: a verdict ends the run of the item, not the item. The next run has another fingerprint and continues the output; the second verdict ends the item as failed, so that one that does kill targets gets four of them.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -7,7 +7,7 @@
 use http_edge::client::{Failure, Progress, SendError};
 use http_types::Response;
 use jobs::ItemEnd;
-use policy::dispatch::FailureCause;
+use policy::dispatch::{FailureCause, Reason, Refusal};
 use slog::{debug, info};
 use stdx::Name;
 
@@ -59,6 +59,7 @@
 pub async fn run(
     cx: &Shared,
     call: &Call,
+    verdicts: u32,
     mut output: EventData,
     mut on_placed: impl FnMut(),
 ) -> Ended {
@@ -67,7 +68,7 @@
         placed_at.get_or_insert(cx.clock.now());
         on_placed();
     };
-    let (end, pause) = match run_admitted(cx, call, &mut output, &mut note_placed).await {
+    let (end, pause) = match run_admitted(cx, call, verdicts, &mut output, &mut note_placed).await {
         Attempt::Ended(end) => (end, Duration::ZERO),
         Attempt::Next(_) | Attempt::Yielded => (ItemEnd::Interrupted, Duration::ZERO),
         Attempt::Refused(retry_after) => {
@@ -81,10 +82,16 @@
 async fn run_admitted(
     cx: &Shared,
     call: &Call,
+    verdicts: u32,
     output: &mut EventData,
     on_placed: &mut impl FnMut(),
 ) -> Attempt {
-    let Ok(mut admission) = cx.control.submit(call.dispatch_request(cx.clock.now()), None) else {
+    let mut req = call.dispatch_request(cx.clock.now());
+    // A verdict holds for an hour, and one may be wrong: under another fingerprint the next run is judged by itself.
+    for (byte, salt) in req.fingerprint.iter_mut().zip(verdicts.to_le_bytes()) {
+        *byte ^= salt;
+    }
+    let Ok(mut admission) = cx.control.submit(req, None) else {
         return Attempt::Refused(MAX_PAUSE);
     };
     loop {
@@ -104,7 +111,7 @@
             Some(Directive::Refuse(refusal)) => {
                 debug!(cx.log, "item put off"; "request" => &call.request_id, "reason" => ?refusal.reason);
                 admission.refused();
-                return Attempt::Refused(refusal.retry_after);
+                return refused(&refusal);
             }
             Some(Directive::OverRate(_)) | None => return Attempt::Ended(ItemEnd::Interrupted),
         }
@@ -206,6 +213,13 @@
     }
 }
 
+fn refused(refusal: &Refusal) -> Attempt {
+    match refusal.reason {
+        Reason::Poison => Attempt::Ended(ItemEnd::Condemned),
+        _ => Attempt::Refused(refusal.retry_after),
+    }
+}
+
 fn interrupted(admission: Admission, directive: Option<Directive>) -> Attempt {
     match directive {
         Some(Directive::Yield) => {
@@ -216,7 +230,7 @@
         Some(Directive::Cancel | Directive::Dispatch { .. }) => Attempt::Next(admission),
         Some(Directive::Refuse(refusal)) => {
             admission.refused();
-            Attempt::Refused(refusal.retry_after)
+            refused(&refusal)
         }
         Some(Directive::OverRate(_)) | None => {
             // Nothing more is known of the request, so it counts as failed here.
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -295,7 +295,7 @@
                 let (tokens, events) = (job.run.item(index).tokens, ended.output.events());
                 self.run_times.record(tokens, events, ran_for);
             }
-            ItemEnd::Interrupted => {
+            ItemEnd::Interrupted | ItemEnd::Condemned => {
                 let not_before = self.cx.clock.now() + ended.pause;
                 job.begun.insert(index, Begun { output: ended.output, ran_for, not_before });
             }
@@ -344,12 +344,12 @@
         };
         let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
-        let claim = job.claim;
+        let (claim, verdicts) = (job.claim, job.run.verdicts(index));
         let placed_tx = events.clone();
         // Made outside the task, so that an item that is stopped before its task has begun is told of as well.
         let mut placed = Placed { events: placed_tx, is_told: false };
         let (run, handle) = abortable(async move {
-            let ended = item::run(&cx, &call, output, || placed.tell()).await;
+            let ended = item::run(&cx, &call, verdicts, output, || placed.tell()).await;
             drop(placed);
             // The worker may have ended.
             let _ = events.try_send(Event::ItemEnded { id, claim, index, ended: Box::new(ended) });
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -15,6 +15,9 @@
 /// The least time between two writes of the index entry while items are left, in milliseconds: each of them wakes every
 /// daemon that runs items, and an entry that counts finished items for a while only makes the account wait.
 const INDEX_INTERVAL_MS: u64 = 3_000;
+/// Verdicts after which an item ends as failed. One may be wrong, since a cut network looks like the loss of the targets behind
+/// it; two keep an item that does kill targets at four of them.
+const MAX_VERDICTS: u32 = 2;
 /// Bytes of results in one transaction.
 const MAX_RESULT_BYTES: usize = 2_000_000;
 
@@ -32,6 +35,8 @@
         Failed,
         /// The item was not run to its end, for no fault of its own.
         Interrupted,
+        /// The item was on targets that were lost, and the dispatcher holds it to be the cause.
+        Condemned,
     }
 }
 
@@ -47,6 +52,7 @@
     waiting: VecDeque<usize>,
     running: BTreeSet<usize>,
     failures: Vec<u32>,
+    verdicts: Vec<u32>,
     /// Results that are not stored yet.
     unsaved: VecDeque<(usize, ItemResult)>,
     /// The results in the transaction that is under way.
@@ -65,7 +71,7 @@
         items: Vec<Item>,
     ) -> Self {
         let waiting = (0..items.len()).filter(|it| !record.listed.contains(it)).collect();
-        let failures = vec![0; items.len()];
+        let (failures, verdicts) = (vec![0; items.len()], vec![0; items.len()]);
         Self {
             id,
             record,
@@ -75,6 +81,7 @@
             waiting,
             running: BTreeSet::new(),
             failures,
+            verdicts,
             unsaved: VecDeque::new(),
             saving: 0,
             indexed_ms: 0,
@@ -96,6 +103,11 @@
         &self.items[index]
     }
 
+    /// Returns how often an item was held to be the cause of the loss of targets.
+    pub fn verdicts(&self, index: usize) -> u32 {
+        self.verdicts[index]
+    }
+
     /// Returns the items that wait to be run.
     pub fn waiting(&self) -> impl Iterator<Item = usize> {
         self.waiting.iter().copied()
@@ -121,6 +133,12 @@
                 (is_spent || self.may_give_up(unix_ms))
                     .then_some((ItemState::Failed, String::new()))
             }
+            ItemEnd::Condemned => {
+                self.verdicts[index] += 1;
+                let is_spent = self.verdicts[index] >= MAX_VERDICTS;
+                (is_spent || self.may_give_up(unix_ms))
+                    .then_some((ItemState::Failed, String::new()))
+            }
             ItemEnd::Interrupted => {
                 self.may_give_up(unix_ms).then_some((ItemState::Failed, String::new()))
             }
--- a/crates/jobs/tests/run.rs
+++ b/crates/jobs/tests/run.rs
@@ -120,3 +120,17 @@
     let transaction = run.commit(RECEIVED_MS).expect("one result");
     assert_eq!(transaction.expected[0].revision, Revision(5));
 }
+
+// Guards against an item that waits for the end of a wrong verdict, and against one that goes on killing targets.
+#[test]
+fn a_condemned_item_runs_once_more_and_fails_at_the_second_verdict() {
+    let mut run = run(vec![item("a", 0)]);
+    run.take_item(0);
+    run.on_end(0, ItemEnd::Condemned, RECEIVED_MS);
+    assert_eq!(run.waiting().collect::<Vec<_>>(), [0]);
+    assert_eq!(run.verdicts(0), 1);
+    run.take_item(0);
+    run.on_end(0, ItemEnd::Condemned, RECEIVED_MS);
+    let stored = results(&run.commit(RECEIVED_MS).expect("a result"));
+    assert_eq!(stored[0].1.state, ItemState::Failed);
+}
