--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -10,10 +10,10 @@
 };
 use kv_store::{Committed, Entry, Error, Revision};
 use platform::{ingress::RequestHints, jobs as wire, jobs::JobCall};
-use slog::{info, warn};
+use slog::info;
 
 use super::{Request, Result, identity::Identity, read_body};
-use crate::{clock, shared::Shared};
+use crate::{clock, job_work::index, shared::Shared};
 
 /// The bytes of results in one answer, which callers take up to a megabyte of.
 const MAX_RESULT_BYTES: usize = 900_000;
@@ -230,13 +230,7 @@
 
 async fn open_jobs(cx: &Shared) -> kv_store::Result<Vec<OpenJob>> {
     let listing = cx.store.range(OPEN_PREFIX).await?;
-    let read = |entry: &Entry| match serde_json::from_slice(&entry.value) {
-        Ok(job) => Some(job),
-        Err(e) => {
-            warn!(cx.log, "index entry of a job cannot be read"; "key" => %entry.key, "error" => %e);
-            None
-        }
-    };
+    let read = |entry: &Entry| index::open_job(cx, entry).map(|(_, job)| job);
     Ok(listing.entries.iter().filter_map(read).collect())
 }
 
--- a/crates/borageshed/src/job_work/index.rs
+++ b/crates/borageshed/src/job_work/index.rs
@@ -99,7 +99,8 @@
     Some((JobId::of_claim(&entry.key)?, owner))
 }
 
-fn open_job(cx: &Shared, entry: &kv_store::Entry) -> Option<(JobId, OpenJob)> {
+/// Reads an index entry; one that cannot be read is logged and left out.
+pub fn open_job(cx: &Shared, entry: &kv_store::Entry) -> Option<(JobId, OpenJob)> {
     let id = JobId::of_open(&entry.key)?;
     match serde_json::from_slice(&entry.value) {
         Ok(job) => Some((id, job)),
