Let callers wait for loans and refills instead of refusing them wrongfully

The log of refusals, new here, shows daemons without slots of their own whose donors had just begun to refill. Three faults: - `RateLimiter::next_tick` returned `now + 20 ms` while callers waited, so the daemon's test `at <= now` was never true and waiting callers were looked at only at their deadline. - A donor with a waiting caller called itself busy, after which the borrower expected nothing from it. - A caller waited 30 ms at most, and only for the refill of the own share.

Change: ticks are counted from the last one; a donor is busy if its demand reaches its share of the rate; callers wait up to 200 ms if a token is to be expected within 150 ms, from refills here and at donors that are not busy, or from requests under way; late peers are asked if no other holds slots. Without donors to ask, Retry-After is 1 s and not 60 s. The logs of a deployment whose test fails are kept.

Ruled out: load.

New tests in loans.rs failed before, each for its fault.

--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -148,14 +148,14 @@
     }
 
     /// Returns when a tick is due before its regular time.
-    pub fn next_tick(&self, now: Timestamp) -> Option<Timestamp> {
-        self.rate.as_ref().and_then(|it| it.limiter.next_tick(now))
+    pub fn next_tick(&self) -> Option<Timestamp> {
+        self.rate.as_ref().and_then(|it| it.limiter.next_tick())
     }
 
     /// Does what is due by time.
     pub fn tick_if_due(&mut self, now: Timestamp) {
         if let Some(rate) = &mut self.rate
-            && rate.limiter.next_tick(now).is_some_and(|at| at <= now)
+            && rate.limiter.next_tick().is_some_and(|at| at <= now)
         {
             let actions = rate.limiter.tick(now);
             self.perform_rate(now, actions);
@@ -192,6 +192,7 @@
                 self.rate_waiting.insert(id, ticket);
             }
             Acquire::Refused { retry_after } => {
+                self.log_over_rate(now, &ticket, retry_after);
                 answer(&ticket.reply, Directive::OverRate(RateRefusal { retry_after }));
             }
         }
@@ -361,6 +362,7 @@
                 }
                 RateAction::Refuse { waiter, retry_after } => {
                     if let Some(ticket) = self.rate_waiting.remove(&waiter.0) {
+                        self.log_over_rate(now, &ticket, retry_after);
                         answer(&ticket.reply, Directive::OverRate(RateRefusal { retry_after }));
                     }
                 }
@@ -368,6 +370,20 @@
         }
     }
 
+    /// Logs the refusal of a request by its account's rate, with what decided it.
+    fn log_over_rate(&self, now: Timestamp, ticket: &Ticket, retry_after: Duration) {
+        let (Some(rate), Some(account)) = (&self.rate, ticket.rate_account) else { return };
+        let it = rate.limiter.inputs(now, account);
+        info!(
+            self.log, "request refused by the rate of its account";
+            "ticket" => ticket.request.id, "account" => %ticket.request.account,
+            "retry_after_ms" => retry_after.as_millis() as u64, "slots" => it.slots,
+            "level" => it.level.as_f64(), "borrowed" => it.borrowed.as_f64(),
+            "requested" => it.requested.as_f64(), "donors" => it.donors,
+            "late_donors" => it.late_donors
+        );
+    }
+
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
--- a/crates/borageshed/src/control/thread.rs
+++ b/crates/borageshed/src/control/thread.rs
@@ -62,7 +62,7 @@
 fn run(mut state: State, clock: Clock, rx: &Receiver<ControlEvent>) {
     loop {
         let now = clock.now();
-        let pause = state.next_tick(now).map_or(TICK, |at| at.since(now)).min(TICK);
+        let pause = state.next_tick().map_or(TICK, |at| at.since(now)).min(TICK);
         match rx.recv_timeout(pause) {
             Ok(ControlEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
             Ok(event) => state.handle(clock.now(), event),
--- a/crates/policy/src/rate/action.rs
+++ b/crates/policy/src/rate/action.rs
@@ -4,7 +4,7 @@
 
 use stdx::{Name, Timestamp, record_type, value_type};
 
-use crate::rate::RateMessage;
+use crate::rate::{RateMessage, Tokens};
 
 value_type! {
     /// The caller's name for a request that waits for a token.
@@ -80,3 +80,21 @@
         pub refused: u64,
     }
 }
+
+record_type! {
+    /// What a decision on a request goes by, for the log.
+    pub struct Inputs {
+        /// The slots that this instance holds.
+        pub slots: u32,
+        /// The account's tokens at hand.
+        pub level: Tokens,
+        /// The account's borrowed tokens at hand.
+        pub borrowed: Tokens,
+        /// The tokens that peers were asked for and may still lend in time.
+        pub requested: Tokens,
+        /// The reachable peers that hold slots.
+        pub donors: u32,
+        /// Those of them that did not answer in time lately.
+        pub late_donors: u32,
+    }
+}
--- a/crates/policy/src/rate/borrower.rs
+++ b/crates/policy/src/rate/borrower.rs
@@ -5,7 +5,7 @@
 use stdx::Timestamp;
 
 use crate::rate::{
-    ClosedLoan, LOAN_VALIDITY, MAX_WAIT, RequestId, WaiterId,
+    ClosedLoan, LATE_AFTER, LOAN_VALIDITY, MAX_WAIT, RequestId, WaiterId,
     demand::Demand,
     lender::PeerIndex,
     tokens::{Rate, Tokens},
@@ -55,8 +55,8 @@
     pub request: RequestId,
     sent_at: Timestamp,
     expected: Tokens,
-    /// Whether the peer is already known not to have answered in time.
-    is_late: bool,
+    /// Whether [`Borrower::newly_late`] has named the peer for this request.
+    is_noted_late: bool,
 }
 
 /// A peer's share as far as it is known.
@@ -123,9 +123,14 @@
         self.loans.iter().filter(|it| it.is_valid(now)).map(|it| it.left).sum()
     }
 
-    /// Returns what the requests that may still be answered in time are expected to bring.
+    /// Returns what the requests that are not yet late are expected to bring.
     pub fn expected(&self, now: Timestamp) -> Tokens {
-        self.pending.iter().filter(|it| !it.has_timed_out(now)).map(|it| it.expected).sum()
+        self.pending.iter().filter(|it| !it.is_late(now)).map(|it| it.expected).sum()
+    }
+
+    /// Returns what the requests may bring that are answered while a caller who waits now still does.
+    pub fn possible(&self, now: Timestamp) -> Tokens {
+        self.pending.iter().filter(|it| !it.is_given_up(now)).map(|it| it.expected).sum()
     }
 
     /// Spends borrowed tokens, those first that lapse first, and returns how much of `amount` they covered.
@@ -182,7 +187,13 @@
     /// Notes that a request was sent.
     pub fn asked(&mut self, now: Timestamp, ask: Ask, request: RequestId) {
         let Ask { peer, want } = ask;
-        self.pending.push(Pending { peer, request, sent_at: now, expected: want, is_late: false });
+        self.pending.push(Pending {
+            peer,
+            request,
+            sent_at: now,
+            expected: want,
+            is_noted_late: false,
+        });
     }
 
     /// Takes over an answer; one that was given up or repeated counts for nothing.
@@ -209,19 +220,19 @@
         }
     }
 
-    /// Returns peers that have newly failed to answer within [`MAX_WAIT`].
+    /// Returns peers that have newly failed to answer within [`LATE_AFTER`].
     pub fn newly_late(&mut self, now: Timestamp) -> Vec<PeerIndex> {
-        let late = self.pending.iter_mut().filter(|it| it.has_timed_out(now) && !it.is_late);
+        let late = self.pending.iter_mut().filter(|it| it.is_late(now) && !it.is_noted_late);
         late.map(|it| {
-            it.is_late = true;
+            it.is_noted_late = true;
             it.peer
         })
         .collect()
     }
 
-    /// Returns whether a request may still be answered in time.
+    /// Returns whether a request may still be answered before it is late.
     pub fn awaits_answer(&self, now: Timestamp) -> bool {
-        self.pending.iter().any(|it| !it.has_timed_out(now))
+        self.pending.iter().any(|it| !it.is_late(now))
     }
 
     /// Returns what `share` is estimated to hold.
@@ -237,6 +248,15 @@
         share.burst.min(donor.level + refill)
     }
 
+    /// Returns what `share` is estimated to gain in `time`; what a busy donor gains goes to its own callers.
+    pub fn estimated_refill(&self, now: Timestamp, share: &DonorShare, time: Duration) -> Tokens {
+        let donor = self.donors.iter().find(|it| it.peer == share.peer);
+        match donor.is_some_and(|it| now < it.busy_until) {
+            true => Tokens::ZERO,
+            false => share.rate.over(time),
+        }
+    }
+
     /// Returns whether `share` may be asked now.
     pub fn may_ask(&self, now: Timestamp, share: &DonorShare) -> bool {
         let estimate = self.estimate(now, share);
@@ -300,7 +320,8 @@
     pub fn next_wakeup(&self) -> Timestamp {
         let waiters = self.waiters.front().map(|it| it.deadline);
         let loans = self.loans.first().map(|it| it.sent_at + RETURN_AGE);
-        let late = self.pending.iter().filter(|it| !it.is_late).map(|it| it.sent_at + MAX_WAIT);
+        let late =
+            self.pending.iter().filter(|it| !it.is_noted_late).map(|it| it.sent_at + LATE_AFTER);
         let dropped = self.pending.iter().map(|it| it.sent_at + LOAN_VALIDITY);
         let idle = self.used_at + IDLE_TIME;
         let quiet = (!self.loans.is_empty()).then(|| self.quiet_at());
@@ -356,7 +377,11 @@
 }
 
 impl Pending {
-    fn has_timed_out(&self, now: Timestamp) -> bool {
+    fn is_late(&self, now: Timestamp) -> bool {
+        now.since(self.sent_at) >= LATE_AFTER
+    }
+
+    fn is_given_up(&self, now: Timestamp) -> bool {
         now.since(self.sent_at) >= MAX_WAIT
     }
 }
--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -10,8 +10,8 @@
 use stdx::{Name, Rng, Timestamp};
 
 use crate::rate::{
-    AccountId, Acquire, ClosedLoan, DONOR_HOLD, Holdings, MAX_WAIT, RateAction, RateMessage,
-    RequestId, Stats, WaiterId,
+    AccountId, Acquire, ClosedLoan, DONOR_HOLD, Holdings, Inputs, MAX_WAIT, RateAction,
+    RateMessage, RequestId, Stats, WaiterId,
     borrower::{Borrower, DonorShare, Waiter},
     lender::{Lender, PeerIndex},
     share::Share,
@@ -32,8 +32,12 @@
 /// How long a peer is not asked after it failed to answer, doubled each time up to the maximum.
 const SILENT_TIME_MIN: Duration = Duration::from_millis(250);
 const SILENT_TIME_MAX: Duration = Duration::from_secs(4);
-/// How long a refused caller should wait if no share of the account refills.
+/// How long a refused caller should wait if the account is unknown or has no rate.
 const RETRY_WITHOUT_RATE: Duration = Duration::from_secs(60);
+/// How long a refused caller should wait if no instance that holds a share can be asked.
+const RETRY_WITHOUT_DONORS: Duration = Duration::from_secs(1);
+/// How far ahead a waiting caller may count on refills; whoever would wait longer is refused at once.
+const REFILL_TIME: Duration = Duration::from_millis(150);
 const RETRY_MIN: Duration = Duration::from_millis(1);
 /// The time after the start of an instance within which it takes back the slots of its earlier run.
 const HEAD_START_WINDOW: Duration = Duration::from_secs(5);
@@ -54,6 +58,7 @@
     head_start_until: Timestamp,
     /// When slots or limits were last reduced; loans may exceed the share until they lapse.
     reduced_at: Option<Timestamp>,
+    ticked_at: Timestamp,
     shares: HashMap<AccountId, Share>,
     borrowers: BTreeMap<AccountId, Borrower>,
     peers: Vec<Peer>,
@@ -91,6 +96,7 @@
             head_start: Duration::ZERO,
             head_start_until: now + HEAD_START_WINDOW,
             reduced_at: None,
+            ticked_at: now,
             shares: HashMap::new(),
             borrowers: BTreeMap::new(),
             peers: Vec::new(),
@@ -243,6 +249,7 @@
     /// Does what is due by time; only accounts in use are looked at.
     pub fn tick(&mut self, now: Timestamp) -> Vec<RateAction> {
         let mut cx = self.begin(now);
+        self.ticked_at = now;
         let accounts: Vec<_> = self.borrowers.keys().copied().collect();
         for account in accounts {
             self.serve(&mut cx, account);
@@ -251,10 +258,10 @@
     }
 
     /// Returns when [`Self::tick`] is due next, or `None` while no account is in use.
-    pub fn next_tick(&self, now: Timestamp) -> Option<Timestamp> {
+    pub fn next_tick(&self) -> Option<Timestamp> {
         let wakeups = self.borrowers.values().map(|it| match it.waiters.is_empty() {
             true => it.next_wakeup(),
-            false => it.next_wakeup().min(now + ACTIVE_INTERVAL),
+            false => it.next_wakeup().min(self.ticked_at + ACTIVE_INTERVAL),
         });
         wakeups.min()
     }
@@ -269,6 +276,20 @@
         self.stats
     }
 
+    /// Returns what a decision on a request of the account goes by.
+    pub fn inputs(&self, now: Timestamp, account: AccountId) -> Inputs {
+        let holders = self.peers.iter().filter(|it| it.slots > 0);
+        let borrower = self.borrowers.get(&account);
+        Inputs {
+            slots: self.own_slots.len() as u32,
+            level: self.shares.get(&account).map_or(Tokens::ZERO, Share::level),
+            borrowed: borrower.map_or(Tokens::ZERO, |it| it.borrowed(now)),
+            requested: borrower.map_or(Tokens::ZERO, |it| it.possible(now)),
+            donors: holders.clone().count() as u32,
+            late_donors: holders.filter(|it| it.silent_until > now).count() as u32,
+        }
+    }
+
     /// Returns the number of accounts in use here.
     pub fn accounts_in_use(&self) -> usize {
         self.borrowers.len()
@@ -410,20 +431,25 @@
         let part = own_part(&self.own_slots, self.slots);
         let at_hand = share.level() + borrower.borrowed(now);
         // A part of an answered request may be short of its estimate, so whoever waits is judged anew at each answer.
-        let own_refill = share.rate().part(part).over(last.deadline.since(now));
-        let expected = at_hand + borrower.expected(now) + own_refill;
-        let servable = expected.whole() as usize;
+        let refill_time = last.deadline.since(now).min(REFILL_TIME);
+        let refill = share.rate().part(part).over(refill_time)
+            + donors.iter().map(|it| borrower.estimated_refill(now, it, refill_time)).sum();
         let elsewhere: Tokens = donors.iter().map(|it| borrower.estimate(now, it)).sum();
+        let servable = (at_hand + borrower.possible(now) + elsewhere + refill).whole() as usize;
         let all_held =
             donors.iter().fold(share.rate().part(part).over(Duration::from_secs(1)), |sum, it| {
                 sum + it.rate.over(Duration::from_secs(1))
             });
         let full_rate = Rate::per_second(all_held.as_f64());
+        let without_donors = match share.rate().is_zero() {
+            true => RETRY_WITHOUT_RATE,
+            false => RETRY_WITHOUT_DONORS,
+        };
         let retry_after = |rank: usize| {
             let deficit = Tokens::ONE
                 .times(rank as u64 + 1)
                 .saturating_sub(at_hand + borrower.expected(now) + elsewhere);
-            full_rate.time_for(deficit).unwrap_or(RETRY_WITHOUT_RATE).max(RETRY_MIN)
+            full_rate.time_for(deficit).unwrap_or(without_donors).max(RETRY_MIN)
         };
         let mut kept = 0;
         let mut refused = Vec::new();
@@ -516,12 +542,16 @@
     }
 
     /// Returns the shares of the peers that may be asked, in random order, so that borrowers do not all choose alike.
+    ///
+    /// Peers that were late are left out while another holds slots; a caller had better wait for a slow answer than be
+    /// refused without one.
     fn donor_shares(&mut self, now: Timestamp, account: AccountId) -> Vec<DonorShare> {
         let Some(share) = self.shares.get(&account) else { return Vec::new() };
         let of = self.slots;
+        let all_late = self.peers.iter().all(|it| it.slots == 0 || it.silent_until > now);
         let mut donors: Vec<_> = (0..)
             .zip(&self.peers)
-            .filter(|(_, it)| it.slots > 0 && it.silent_until <= now)
+            .filter(|(_, it)| it.slots > 0 && (all_late || it.silent_until <= now))
             .map(|(peer, it)| {
                 let part = Part { held: it.slots, of };
                 DonorShare { peer, rate: share.rate().part(part), burst: share.burst().part(part) }
@@ -578,12 +608,13 @@
     if capacity < Tokens::ONE || borrower.is_quiet(now) {
         return (Tokens::ZERO, false);
     }
-    if !borrower.waiters.is_empty() {
-        return (share.level(), true);
-    }
     let second = Duration::from_secs(1);
     let is_busy =
         Tokens::from_f64(borrower.demand.per_second(now)) >= share.rate().part(part).over(second);
+    // Callers may wait for a moment only, as after the start of all instances.
+    if !borrower.waiters.is_empty() {
+        return (share.level(), is_busy);
+    }
     let reserve = Tokens::from_f64(borrower.demand.over(now, RESERVE_TIME));
     (reserve.min(Tokens::from_billionths(capacity.billionths() / 2)), is_busy)
 }
--- a/crates/policy/src/rate/mod.rs
+++ b/crates/policy/src/rate/mod.rs
@@ -30,7 +30,7 @@
 use stdx::value_type;
 use twox_hash::XxHash64;
 
-pub use action::{Acquire, Holdings, RateAction, Stats, WaiterId};
+pub use action::{Acquire, Holdings, Inputs, RateAction, Stats, WaiterId};
 pub use limiter::RateLimiter;
 pub use message::{ClosedLoan, RateMessage, RequestId};
 pub use tokens::Tokens;
@@ -42,8 +42,12 @@
 /// How long a donor's capacity stays reduced after it gave a loan: the validity, 1% of clock drift on it, and 100 ms.
 pub const DONOR_HOLD: Duration = Duration::from_millis(605);
 
-/// The longest time that a request waits for a loan.
-pub const MAX_WAIT: Duration = Duration::from_millis(30);
+/// After which time without an answer other donors are asked, and the peer only where no other is left.
+pub const LATE_AFTER: Duration = Duration::from_millis(30);
+
+/// The longest time that a request waits for a token; a donor that is short of processor time answers late, and a refusal
+/// of an account within its rate costs its callers more than this part of the 480 ms to the first token.
+pub const MAX_WAIT: Duration = Duration::from_millis(200);
 
 value_type! {
     /// The short identity of an account, equal on all instances and in all revisions.
--- a/crates/policy/src/rate/tokens.rs
+++ b/crates/policy/src/rate/tokens.rs
@@ -86,6 +86,11 @@
         Self(Tokens::from_f64(amount))
     }
 
+    /// Returns whether the rate yields nothing.
+    pub fn is_zero(self) -> bool {
+        self.0 == Tokens::ZERO
+    }
+
     /// Returns a part of the rate, rounded down.
     pub fn part(self, part: Part) -> Self {
         Self(self.0.part(part))
--- a/crates/policy/tests/loans.rs
+++ b/crates/policy/tests/loans.rs
@@ -44,15 +44,9 @@
         for waiter in 0..6 {
             sent.extend(borrower.acquire(FULL, account(), WaiterId(waiter)).1);
         }
-        let request = sent.iter().find_map(|it| match it {
-            RateAction::Send { message: RateMessage::LoanRequest { request, .. }, .. } => {
-                Some(*request)
-            }
-            _ => None,
-        });
         let message = RateMessage::LoanGrant {
             account: account(),
-            request: request.expect("a request"),
+            request: requests(&sent)[0],
             amount: Tokens::ONE.times(10),
             level: Tokens::ZERO,
             is_busy: false,
@@ -66,6 +60,86 @@
     }
 }
 
+/// Guards against a refusal of an account that is far within its rate, only because a busy peer answers late.
+#[test]
+fn a_request_waits_for_the_answer_of_a_slow_donor() {
+    for (answer_ms, is_granted) in [(20, true), (120, true), (199, true), (201, false)] {
+        let mut borrower = limiter(500.0, 500.0, 0, &[("peer", 60)]);
+        let first = borrower.acquire(FULL, account(), WaiterId(1));
+        assert_eq!(first.0, Acquire::Waiting);
+        let mut sent = first.1;
+        // The peer counts as slow by now, but no other can be asked.
+        let later = FULL + Duration::from_millis(answer_ms / 2);
+        sent.extend(borrower.tick(later));
+        let second = borrower.acquire(later, account(), WaiterId(2));
+        assert_eq!(second.0, Acquire::Waiting, "{answer_ms} ms");
+        sent.extend(second.1);
+        let now = FULL + Duration::from_millis(answer_ms);
+        let mut answers = borrower.tick(now);
+        for request in requests(&sent) {
+            let (amount, level) = (Tokens::ONE, Tokens::ONE.times(100));
+            let message = RateMessage::LoanGrant {
+                account: account(),
+                request,
+                amount,
+                level,
+                is_busy: false,
+            };
+            answers.extend(borrower.on_message(now, &Name::new("peer"), message));
+        }
+        let granted = answers.contains(&RateAction::Grant { waiter: WaiterId(1) });
+        assert_eq!(granted, is_granted, "{answer_ms} ms: {answers:?}");
+    }
+}
+
+/// Guards against a refusal right after the start of all instances, when shares are empty but about to refill.
+#[test]
+fn a_request_waits_for_the_refill_of_donors_unless_their_own_callers_use_it() {
+    for is_busy in [false, true] {
+        let mut borrower = limiter(500.0, 500.0, 0, &[("peer", 60)]);
+        let (first, sent) = borrower.acquire(FULL, account(), WaiterId(1));
+        assert_eq!(first, Acquire::Waiting);
+        let none = |request, is_busy| RateMessage::LoanGrant {
+            account: account(),
+            request,
+            amount: Tokens::ZERO,
+            level: Tokens::ZERO,
+            is_busy,
+        };
+        let soon = FULL + Duration::from_millis(3);
+        let peer = Name::new("peer");
+        let answers = borrower.on_message(soon, &peer, none(requests(&sent)[0], is_busy));
+        let refused =
+            answers.iter().any(|it| matches!(it, RateAction::Refuse { waiter: WaiterId(1), .. }));
+        assert_eq!(refused, is_busy, "{answers:?}");
+        if is_busy {
+            continue;
+        }
+        let again = borrower.tick(FULL + Duration::from_millis(105));
+        assert_eq!(requests(&again).len(), 1, "{again:?}");
+    }
+}
+
+/// Guards against callers who wait until their deadline for tokens that have long been refilled.
+#[test]
+fn waiting_callers_are_looked_at_again_and_again() {
+    let mut limiter = limiter(10.0, 60.0, 60, &[]);
+    let start = START + Duration::from_millis(HOLD_MS);
+    assert_eq!(limiter.acquire(start, account(), WaiterId(1)).0, Acquire::Waiting);
+    let mut now = start;
+    let mut granted_after = None;
+    while granted_after.is_none() && now < start + Duration::from_millis(190) {
+        now += Duration::from_millis(1);
+        if limiter.next_tick().is_some_and(|at| at <= now)
+            && limiter.tick(now).contains(&RateAction::Grant { waiter: WaiterId(1) })
+        {
+            granted_after = Some(now.since(start));
+        }
+    }
+    let within = Duration::from_millis(100)..=Duration::from_millis(121);
+    assert!(granted_after.is_some_and(|it| within.contains(&it)), "{granted_after:?}");
+}
+
 /// Guards against a restart that admits while loans of the earlier run may still be spent.
 #[test]
 fn a_new_run_admits_nothing_before_the_hold_has_passed() {
@@ -76,6 +150,16 @@
     assert_eq!(limiter.acquire(later, account(), WaiterId(2)).0, Acquire::Granted);
 }
 
+fn requests(actions: &[RateAction]) -> Vec<RequestId> {
+    let requests = actions.iter().filter_map(|it| match it {
+        RateAction::Send { message: RateMessage::LoanRequest { request, .. }, .. } => {
+            Some(*request)
+        }
+        _ => None,
+    });
+    requests.collect()
+}
+
 fn limiter(rate: f64, burst: f64, own: usize, peers: &[(&str, u32)]) -> RateLimiter {
     let mut limiter = RateLimiter::new(START, &network::document(rate, burst), seeded(1));
     let own = vec![Timestamp::from_millis(u64::MAX / 1_000); own];
--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -464,6 +464,16 @@
     }
 }
 
+impl Drop for Deployment {
+    /// Keeps the logs of a test that fails.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("settings and logs are kept in {}", self.folder.path().display());
+        }
+    }
+}
+
 /// Returns an account with one key for a section of accounts.
 pub fn account(key: &str, rate: f64, burst: f64) -> Value {
     let sha256 = hex::encode(Sha256::digest(key));
