--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -466,6 +466,10 @@
 
 impl Drop for Deployment {
     /// Keeps the logs of a test that fails.
+    #[expect(
+        clippy::print_stderr,
+        reason = "the output of a failed test is where its reader looks"
+    )]
     fn drop(&mut self) {
         if std::thread::panicking() {
             self.folder.disable_cleanup(true);
