Let the list of targets decide whether a registered target died

Change: the death of a target that registers itself proves nothing until the list of targets drops it; the verdict waits for that, 5 s at most, and then the deaths are taken back. An answer to an attempt that began after the death, or the return to the list under the same name, refutes a death and lifts the verdicts that blame it, in the store too. A request whose deadline comes before the decision is answered at once.

Before: `deaths_of_many_targets_at_once_prove_nothing_against_a_request` red for all targets. After: green for registered ones (dispatch_registered.rs, five tests); red as before where the configuration names the targets, because nothing tells a restart from a cut there. The randomised tests of policy are green.

--- a/crates/borageshed/src/control/effect.rs
+++ b/crates/borageshed/src/control/effect.rs
@@ -39,6 +39,11 @@
             /// The fingerprint.
             fingerprint: Fingerprint,
         },
+        /// Remove a verdict from the platform's service.
+        LiftVerdict {
+            /// The fingerprint.
+            fingerprint: Fingerprint,
+        },
         /// Tell peers that a target died while it ran a request.
         ShareSuspicion(Suspicion),
         /// Tell peers where a suspect is to run, runs or no longer runs.
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -408,6 +408,9 @@
                 Action::RepeatVerdict { to, fingerprint } => {
                     self.effect(Effect::RepeatVerdict { to, fingerprint })
                 }
+                Action::LiftVerdict { fingerprint } => {
+                    self.effect(Effect::LiftVerdict { fingerprint })
+                }
                 Action::ShareSuspicion(suspicion) => self.effect(Effect::ShareSuspicion(suspicion)),
                 Action::ShareClaim { to, claim } => self.effect(Effect::ShareClaim { to, claim }),
             }
--- a/crates/borageshed/src/effects.rs
+++ b/crates/borageshed/src/effects.rs
@@ -48,6 +48,11 @@
             Effect::RepeatVerdict { to, fingerprint } => {
                 peers.send_verdict(to.as_ref(), &fingerprint);
             }
+            Effect::LiftVerdict { fingerprint } => {
+                warn!(cx.log, "request fingerprint is no longer poison: a target that it was blamed for is alive";
+                    "fingerprint" => hex::encode(fingerprint));
+                task::spawn(remove_verdict(Arc::clone(&cx), fingerprint));
+            }
             Effect::ShareSuspicion(suspicion) => {
                 info!(cx.log, "target died under a request"; "target" => %suspicion.target,
                     "fingerprint" => hex::encode(suspicion.fingerprint));
@@ -87,7 +92,7 @@
 }
 
 async fn store_verdict(cx: Arc<Shared>, fingerprint: Fingerprint) {
-    let key = format!("{POISON_PREFIX}{}", hex::encode(fingerprint));
+    let key = verdict_key(&fingerprint);
     let stored = async {
         let lease = cx.store.lease_grant(VERDICT_TTL).await?;
         cx.store.put_with_lease(&key, b"{}", lease).await
@@ -99,6 +104,19 @@
     }
 }
 
+/// Removes a stored verdict, so that instances that start later do not take it over.
+async fn remove_verdict(cx: Arc<Shared>, fingerprint: Fingerprint) {
+    match cx.store.delete(&verdict_key(&fingerprint), None).await {
+        Ok(Outcome::Won(_)) => cx.platform_answered(),
+        Ok(outcome) => debug!(cx.log, "poison verdict not removed"; "outcome" => ?outcome),
+        Err(e) => warn!(cx.log, "poison verdict not removed"; "error" => %e),
+    }
+}
+
+fn verdict_key(fingerprint: &Fingerprint) -> String {
+    format!("{POISON_PREFIX}{}", hex::encode(fingerprint))
+}
+
 /// Reads the stored verdicts once, as soon as the platform's service answers: they outlive the instance that gave them.
 pub async fn load_verdicts(cx: Arc<Shared>) {
     loop {
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -410,6 +410,7 @@
                 Action::Cancel { .. }
                 | Action::ShareVerdict { .. }
                 | Action::RepeatVerdict { .. }
+                | Action::LiftVerdict { .. }
                 | Action::ShareSuspicion(_)
                 | Action::ShareClaim { .. } => {}
             }
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -331,9 +331,17 @@
         let entry = self.services.entry(name.clone());
         let index = entry.index();
         let service = entry.or_insert_with(|| Service::new(name));
+        let is_listed = |it: &Name| service.targets.get(it).is_some_and(|it| it.listed);
+        let returned: Vec<Name> = targets
+            .iter()
+            .filter(|it| self.poison.is_blamed(&it.name) && !is_listed(&it.name))
+            .map(|it| it.name.clone())
+            .collect();
         for target in service.targets.values_mut() {
             target.listed = targets.iter().any(|it| it.name == target.info.name);
         }
+        let gone = service.targets.values().filter(|it| !it.listed);
+        gone.for_each(|it| self.poison.confirm_death(&it.info.name));
         let mut changed = Vec::new();
         for info in targets {
             let local = info.failure_domain == self.settings.failure_domain;
@@ -358,6 +366,9 @@
                 (true, true) => {}
             }
         }
+        for target in returned {
+            self.on_sign_of_life(now, index, &target, now);
+        }
         self.recount_peers(index);
         self.refresh_targets(now, index);
         self.pump(now, index);
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -1,7 +1,5 @@
 //! What the end of an attempt does to a request.
 
-use std::time::Duration;
-
 use stdx::{Name, Timestamp};
 
 use super::{
@@ -19,7 +17,7 @@
 pub(super) struct Released {
     pub service: usize,
     pub target: Name,
-    pub held_for: Duration,
+    pub since: Timestamp,
     pub conclusion: Conclusion,
 }
 
@@ -30,8 +28,9 @@
         // The bytes of a batch item's answer are delivered to nobody before it is complete.
         held.answered |= held.class() == Class::Online;
         let service = held.service;
-        let Phase::InFlight { target, .. } = &held.phase else { return };
-        let target = target.clone();
+        let Phase::InFlight { target, since, .. } = &held.phase else { return };
+        let (target, since) = (target.clone(), *since);
+        self.on_sign_of_life(now, service, &target, since);
         let was_up = self.services[service].targets[&target].health.state() == HealthState::Up;
         self.health_event(now, service, &target, HealthEvent::Success);
         if !was_up {
@@ -43,12 +42,13 @@
         let Some(released) = self.release(now, id, RunEnd::Completed) else { return };
         let held = self.requests.swap_remove(&id).expect("a released request is held");
         let service = &mut self.services[released.service];
-        service.record_hold(released.held_for, held.request.cost);
+        service.record_hold(now.since(released.since), held.request.cost);
         if let Some(tokens) = tokens {
             let correction = tokens as i64 - held.charged as i64;
             service.lane(held.class()).queue.charge(&held.request.account, correction);
         }
         self.health_event(now, released.service, &released.target, HealthEvent::Success);
+        self.on_sign_of_life(now, released.service, &released.target, released.since);
         self.pump(now, released.service);
     }
 
@@ -166,7 +166,7 @@
         if was_announced {
             self.end_announced_run(service, &target, fingerprint);
         }
-        Some(Released { service, target, held_for: now.since(since), conclusion })
+        Some(Released { service, target, since, conclusion })
     }
 
     /// Puts a released request back to wait, ahead of its account's others.
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -6,8 +6,8 @@
 use twox_hash::XxHash64;
 
 use super::{
-    dispatcher::Dispatcher,
-    request::{Action, Class},
+    dispatcher::{Dispatcher, come_back},
+    request::{Action, Class, Reason},
     service::{Held, Phase, Service},
     settings::Settings,
     target::Target,
@@ -101,7 +101,13 @@
             }
             return;
         }
-        if self.poison.is_pending(&fingerprint) || self.claims.backs_off(&fingerprint, now) {
+        if let Some(decided_by) = self.poison.decided_by(&fingerprint) {
+            if decided_by >= self.requests[&id].request.deadline {
+                self.give_up(id, Reason::TargetFailed, come_back(Some(decided_by.since(now))));
+            }
+            return;
+        }
+        if self.claims.backs_off(&fingerprint, now) {
             return;
         }
         match self.choose(now, id) {
--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -1,6 +1,10 @@
 //! Suspicion and verdicts by fingerprint.
+//!
+//! A broken connection looks like the death of its target. Where targets register themselves, under a name for each run,
+//! the list tells the two apart: the death of a listed target proves nothing until the list drops the target, and nothing at
+//! all once the target answers again, which also lifts the verdicts that blame it.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use fleet::QualifiedName;
 use indexmap::IndexMap;
@@ -18,11 +22,22 @@
 #[derive(Debug, Default)]
 pub(super) struct PoisonTable {
     records: IndexMap<Fingerprint, Record>,
-    verdicts: IndexMap<Fingerprint, Timestamp>,
+    verdicts: IndexMap<Fingerprint, Verdict>,
+    /// The registered targets whose deaths count against a request, so that other answers cost no search.
+    blamed: BTreeSet<Name>,
     /// The deaths of the last moments, which tell who else was on a target when it died.
     deaths: Vec<Death>,
 }
 
+#[derive(Debug)]
+struct Verdict {
+    expires: Timestamp,
+    /// The registered targets that died, by one of whose answers the verdict is refuted.
+    blamed: Vec<(Name, Timestamp)>,
+    /// Whether this instance reached the verdict, and not a peer.
+    is_own: bool,
+}
+
 /// A request that was in flight on a target that died.
 #[derive(Debug)]
 struct Death {
@@ -51,6 +66,9 @@
 /// How long the verdict of the instance that saw the second death is awaited. Without one the death proves nothing: the
 /// instance found another suspect there, or it is lost, which can cost another target.
 const VERDICT_PATIENCE: Duration = Duration::from_millis(500);
+/// How long after the wait for peers a death must be confirmed by the list of targets. A target that is gone is dropped
+/// from it after three heartbeats of 1.2 s; the rest is for the list to arrive.
+const CONFIRMATION_PATIENCE: Duration = Duration::from_secs(5);
 
 /// The attempts of requests with one fingerprint.
 #[derive(Debug, Default)]
@@ -68,6 +86,9 @@
     target: Name,
     in_flight: u32,
     died: bool,
+    died_at: Timestamp,
+    /// Whether the list of targets still names the target that died, so that it may live.
+    may_live: bool,
     /// Whether the target was leaving when it died, so that its end may have been a shutdown that took too long.
     was_leaving: bool,
     /// Whether the target died under the attempts in flight of another suspect as well, so that their end proves nothing.
@@ -94,6 +115,8 @@
     pub shared: bool,
     /// When the attempt started; `None` if a peer made it.
     pub started: Option<Timestamp>,
+    /// Whether the target registers itself.
+    pub is_registered: bool,
 }
 
 /// What the end of an attempt means for its request.
@@ -110,7 +133,7 @@
 impl PoisonTable {
     /// Returns when the verdict on the fingerprint expires, if there is one.
     pub fn verdict(&self, fingerprint: &Fingerprint, now: Timestamp) -> Option<Timestamp> {
-        self.verdicts.get(fingerprint).copied().filter(|it| now < *it)
+        self.verdicts.get(fingerprint).map(|it| it.expires).filter(|it| now < *it)
     }
 
     /// Returns whether a target died while it ran a request with the fingerprint.
@@ -160,9 +183,10 @@
         record.runs.iter().any(|it| it.died && it.target != *target)
     }
 
-    /// Returns whether a crash condemns the fingerprint unless it turns out to be another suspect's.
-    pub fn is_pending(&self, fingerprint: &Fingerprint) -> bool {
-        self.records.get(fingerprint).is_some_and(|it| it.pending.is_some())
+    /// Returns when it is decided at the latest whether the fingerprint is condemned, if that is open.
+    pub fn decided_by(&self, fingerprint: &Fingerprint) -> Option<Timestamp> {
+        let record = self.records.get(fingerprint)?;
+        record.pending.as_ref().map(|it| record.decided_by(it))
     }
 
     /// Notes that a peer's attempt ended with the death of its target; returns whether that is news.
@@ -209,6 +233,11 @@
             at: now,
         });
         let Some(record) = self.records.get_mut(&it.fingerprint) else { return };
+        let died = record.runs.iter_mut().rfind(|run| run.died && run.target == it.target);
+        if let (Some(run), true) = (died, note.is_registered) {
+            (run.may_live, run.died_at) = (true, now);
+            self.blamed.insert(it.target.clone());
+        }
         if record.proofs() >= MAX_TARGETS && record.pending.is_none() {
             record.pending = Some(Pending {
                 service: it.service.clone(),
@@ -221,11 +250,50 @@
         }
     }
 
+    /// Returns whether the death of the registered target counts against a request.
+    pub fn is_blamed(&self, target: &Name) -> bool {
+        self.blamed.contains(target)
+    }
+
+    /// Notes that the list of targets no longer names a target, which confirms its death.
+    pub fn confirm_death(&mut self, target: &Name) {
+        if !self.is_blamed(target) {
+            return;
+        }
+        let runs = self.records.values_mut().flat_map(|it| &mut it.runs);
+        for run in runs.filter(|it| it.died && it.target == *target) {
+            run.may_live = false;
+        }
+    }
+
+    /// Notes that a registered target lived at `alive_at`, so that no earlier death of it proves anything.
+    ///
+    /// Returns the fingerprints that this instance had condemned for such a death.
+    pub fn refute_death(&mut self, target: &Name, alive_at: Timestamp) -> Vec<Fingerprint> {
+        for record in self.records.values_mut() {
+            record.acquit(|it| it.target == *target && it.died_at < alive_at);
+        }
+        self.records.retain(|_, it| !it.runs.is_empty() || it.pending.is_some());
+        let is_refuted =
+            |it: &Verdict| it.blamed.iter().any(|(name, at)| name == target && *at < alive_at);
+        let refuted: Vec<_> = self.verdicts.extract_if(.., |_, it| is_refuted(it)).collect();
+        self.forget_blame();
+        refuted.into_iter().filter(|(_, it)| it.is_own).map(|(it, _)| it).collect()
+    }
+
     /// Ends the waits for verdicts that are due; returns the condemned fingerprints.
     pub fn conclude(&mut self, settings: &Settings, now: Timestamp) -> Vec<Fingerprint> {
         let is_due = |it: &Record| it.pending.as_ref().is_some_and(|it| it.due <= now);
         let due = self.records.iter().filter(|(_, it)| is_due(it)).map(|(it, _)| *it);
-        let (shared, condemned): (Vec<_>, Vec<_>) = due.partition(|it| self.is_shared(it));
+        let (unproved, due): (Vec<_>, Vec<_>) = due.partition(|it| self.is_unproved(it));
+        let (shared, condemned): (Vec<_>, Vec<_>) =
+            due.into_iter().partition(|it| self.is_shared(it));
+        for fingerprint in unproved {
+            let record = &mut self.records[&fingerprint];
+            if record.pending.as_ref().is_some_and(|it| record.decided_by(it) <= now) {
+                record.acquit(|it| it.may_live);
+            }
+        }
         for fingerprint in shared {
             let record = &mut self.records[&fingerprint];
             let Some(pending) = record.pending.take() else { continue };
@@ -237,13 +305,25 @@
             record.runs.retain(|it| it.died || it.in_flight > 0);
         }
         for fingerprint in &condemned {
-            let Some(record) = self.records.swap_remove(fingerprint) else { continue };
-            assert!(record.proofs() >= MAX_TARGETS, "a verdict needs {MAX_TARGETS} deaths");
+            let proofs = self.records.get(fingerprint).map_or(0, Record::proofs);
+            assert!(proofs >= MAX_TARGETS, "a verdict needs {MAX_TARGETS} deaths");
             self.condemn(settings, now, *fingerprint);
+            if let Some(verdict) = self.verdicts.get_mut(fingerprint) {
+                verdict.is_own = true;
+            }
+            self.records.swap_remove(fingerprint);
         }
         condemned
     }
 
+    /// Returns whether the verdict waits for the list of targets: this instance or a peer is to decide on it, and not all
+    /// deaths are confirmed.
+    fn is_unproved(&self, fingerprint: &Fingerprint) -> bool {
+        let Some(record) = self.records.get(fingerprint) else { return false };
+        let is_peers = record.pending.as_ref().is_some_and(|it| it.started.is_none());
+        record.may_be_acquitted() && (is_peers || !self.is_shared(fingerprint))
+    }
+
     /// Returns whether another suspect was on the target of the pending death.
     fn is_shared(&self, fingerprint: &Fingerprint) -> bool {
         let pending = self.records.get(fingerprint).and_then(|it| it.pending.as_ref());
@@ -325,13 +405,26 @@
         if self.verdicts.len() >= settings.max_verdicts && is_new {
             self.verdicts.shift_remove_index(0);
         }
-        self.verdicts.insert(fingerprint, now + settings.verdict_expiry);
+        let died = self.records.get(&fingerprint).into_iter().flat_map(|it| &it.runs);
+        let blamed = died.filter(|it| it.died && self.blamed.contains(&it.target));
+        let verdict = Verdict {
+            expires: now + settings.verdict_expiry,
+            blamed: blamed.map(|it| (it.target.clone(), it.died_at)).collect(),
+            is_own: false,
+        };
+        match self.verdicts.get_mut(&fingerprint) {
+            // A repeat does not know more than the first message.
+            Some(known) if !is_new => known.expires = verdict.expires,
+            _ => {
+                self.verdicts.insert(fingerprint, verdict);
+            }
+        }
         is_new
     }
 
     /// Forgets what has expired and, above the bound, the oldest suspicions without requests in flight.
     pub fn prune(&mut self, settings: &Settings, now: Timestamp) {
-        self.verdicts.retain(|_, expires| now < *expires);
+        self.verdicts.retain(|_, it| now < it.expires);
         self.records.retain(|_, it| !it.is_idle() || now < it.expires);
         let mut surplus = self.records.len().saturating_sub(settings.max_verdicts);
         self.records.retain(|_, it| {
@@ -339,12 +432,30 @@
             surplus -= usize::from(drop);
             !drop
         });
+        self.forget_blame();
+    }
+
+    /// Drops the targets whose deaths count no longer.
+    fn forget_blame(&mut self) {
+        let died = self.records.values().flat_map(|it| &it.runs).filter(|it| it.died);
+        let died: BTreeSet<&Name> = died.map(|it| &it.target).collect();
+        let verdicts = self.verdicts.values().flat_map(|it| &it.blamed);
+        let blamed: BTreeSet<&Name> = verdicts.map(|it| &it.0).collect();
+        self.blamed.retain(|it| died.contains(it) || blamed.contains(it));
     }
 }
 
 impl Run {
     fn new(target: Name) -> Self {
-        Self { target, in_flight: 1, died: false, was_leaving: false, excused: false }
+        Self {
+            target,
+            in_flight: 1,
+            died: false,
+            died_at: Timestamp::ZERO,
+            may_live: false,
+            was_leaving: false,
+            excused: false,
+        }
     }
 }
 
@@ -353,6 +464,27 @@
         self.pending.is_none() && self.runs.iter().all(|it| it.in_flight == 0)
     }
 
+    /// Returns whether fewer deaths would be left without those of targets that may live.
+    fn may_be_acquitted(&self) -> bool {
+        self.runs.iter().any(|it| it.died && it.may_live)
+    }
+
+    fn decided_by(&self, pending: &Pending) -> Timestamp {
+        let patience = if self.may_be_acquitted() { CONFIRMATION_PATIENCE } else { Duration::ZERO };
+        pending.due + patience
+    }
+
+    /// Takes back the matching deaths.
+    fn acquit(&mut self, matches: impl Fn(&Run) -> bool) {
+        for run in self.runs.iter_mut().filter(|it| it.died && matches(it)) {
+            (run.died, run.may_live) = (false, false);
+        }
+        self.runs.retain(|it| it.died || it.in_flight > 0);
+        if self.proofs() < MAX_TARGETS {
+            self.pending = None;
+        }
+    }
+
     /// Returns the deaths that no shutdown can explain.
     fn proofs(&self) -> usize {
         self.runs.iter().filter(|it| it.died && !it.was_leaving).count()
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -117,6 +117,11 @@
             /// The fingerprint.
             fingerprint: Fingerprint,
         },
+        /// Remove a verdict of this instance from the store: a target that it blames is alive.
+        LiftVerdict {
+            /// The fingerprint.
+            fingerprint: Fingerprint,
+        },
         /// Tell peers at once that a target died while it ran a request.
         ShareSuspicion(Suspicion),
         /// Tell peers at once where a suspect is to run, runs or no longer runs.
--- a/crates/policy/src/dispatch/suspects.rs
+++ b/crates/policy/src/dispatch/suspects.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fleet::QualifiedName;
 use stdx::{Name, Timestamp};
 
 use super::{
@@ -105,7 +106,8 @@
         let is_news = self.poison.import(&self.settings, now, suspicion);
         if is_news {
             let shared = self.is_shared(now, suspicion);
-            let note = DeathNote { wait: self.claim_wait(), shared, started: None };
+            let is_registered = self.is_registered(&suspicion.service, &suspicion.target);
+            let note = DeathNote { wait: self.claim_wait(), shared, started: None, is_registered };
             self.poison.note_death(now, suspicion, note);
             // Copies in flight were not known to be suspects when they started.
             self.announce_runs(None, |it| it.fingerprint == suspicion.fingerprint);
@@ -124,7 +126,9 @@
         let service = self.services[service].name.clone();
         let suspicion = Suspicion { fingerprint, service, target: target.clone() };
         let shared = self.is_shared(now, &suspicion);
-        let note = DeathNote { wait: self.claim_wait(), shared, started: Some(started) };
+        let is_registered = self.is_registered(&suspicion.service, target);
+        let note =
+            DeathNote { wait: self.claim_wait(), shared, started: Some(started), is_registered };
         self.poison.note_death(now, &suspicion, note);
         let action = Action::ShareSuspicion(suspicion);
         self.repeats.push((now + CLAIM_REPEAT, action.clone()));
@@ -143,6 +147,24 @@
         condemned
     }
 
+    /// Handles a sign that a target lived at `since` or later: an answer to an attempt that started then, or its return to
+    /// the list.
+    pub(super) fn on_sign_of_life(
+        &mut self,
+        now: Timestamp,
+        service: usize,
+        target: &Name,
+        since: Timestamp,
+    ) {
+        if !self.poison.is_blamed(target) {
+            return;
+        }
+        for fingerprint in self.poison.refute_death(target, since) {
+            self.actions.push(Action::LiftVerdict { fingerprint });
+        }
+        self.pump(now, service);
+    }
+
     /// Ends the claim of a request, if it has one.
     pub(super) fn end_claim(&mut self, fingerprint: &Fingerprint, id: u64) {
         if let Some(claim) = self.claims.end(fingerprint, id) {
@@ -183,6 +205,12 @@
         if self.peers.is_empty() && self.linked.is_empty() { Duration::ZERO } else { CLAIM_WAIT }
     }
 
+    /// Returns whether the list of registered targets names the target.
+    fn is_registered(&self, service: &QualifiedName, target: &Name) -> bool {
+        let on = self.services.get(service).and_then(|it| it.targets.get(target));
+        on.is_some_and(|it| it.listed && it.info.registered)
+    }
+
     fn withdraw_claim(&mut self, now: Timestamp, fingerprint: &Fingerprint, id: u64) {
         self.end_claim(fingerprint, id);
         self.claims.back_off(now, &mut self.rng, *fingerprint);
--- a/crates/policy/tests/dispatch_poison.rs
+++ b/crates/policy/tests/dispatch_poison.rs
@@ -200,7 +200,7 @@
                 }
                 Action::HealthChanged { .. } => {}
                 Action::ShareLoad => self.heartbeat(dispatcher),
-                Action::CancelBatch { .. } => {}
+                Action::CancelBatch { .. } | Action::LiftVerdict { .. } => {}
                 Action::ShareVerdict { fingerprint } => {
                     self.broadcast(dispatcher, None, &Event::PoisonVerdict { fingerprint });
                 }
--- a/crates/policy/tests/dispatch_random.rs
+++ b/crates/policy/tests/dispatch_random.rs
@@ -192,7 +192,7 @@
                 Action::ShareVerdict { fingerprint } => {
                     self.verdicts.push((dispatcher, fingerprint))
                 }
-                Action::RepeatVerdict { .. } => {}
+                Action::RepeatVerdict { .. } | Action::LiftVerdict { .. } => {}
                 Action::ShareSuspicion(suspicion) => {
                     for to in (0..DISPATCHERS).filter(|it| *it != dispatcher) {
                         self.event(to, Event::PoisonSuspicion(suspicion.clone()));
--- /dev/null
+++ b/crates/policy/tests/dispatch_registered.rs
@@ -0,0 +1,151 @@
+//! Deaths of registered targets, which the list of targets confirms or an answer refutes.
+
+use std::time::Duration;
+
+use dispatch_support::{Bench, SECOND, dispatches, ids, online, refusals, target};
+use policy::dispatch::{Action, Event, FailureCause, Reason, Request, TargetInfo};
+use stdx::Name;
+
+mod dispatch_support;
+
+/// The list drops a target that is gone after three heartbeats of 1.2 s.
+const LAPSE: Duration = Duration::from_millis(3_600);
+
+/// Guards against a verdict on innocent requests when a cut network ends the connections to many targets at once.
+#[test]
+fn deaths_of_many_registered_targets_at_once_prove_nothing_against_a_request() {
+    let mut bench = registered(&["t1", "t2", "t3", "t4", "t5"]);
+    for id in 1..=4 {
+        bench.submit(online(id));
+    }
+    let mut actions = Vec::new();
+    let mut again = Vec::new();
+    for id in 1..=4 {
+        let done = lose(&mut bench, id);
+        again.extend(ids(&done));
+        actions.extend(done);
+    }
+    again.extend(ids(&bench.pass(SECOND / 2)));
+    assert!(!again.is_empty(), "no request was placed again");
+    for id in &again {
+        actions.extend(lose(&mut bench, *id));
+    }
+    let later = pass_reachable(&mut bench, 20 * SECOND);
+    assert!(again.iter().all(|it| ids(&later).contains(it)), "{again:?} {:?}", ids(&later));
+    actions.extend(later);
+    let poisoned = refusals(&actions).into_iter().filter(|(_, it)| *it == Reason::Poison);
+    assert_eq!(poisoned.count(), 0);
+}
+
+/// Guards against a third target that a poison request kills while the list still names the first two.
+#[test]
+fn a_request_that_kills_registered_targets_is_condemned_once_the_list_drops_them() {
+    let mut bench = registered(&["t1", "t2", "t3"]);
+    let killed = kill_two(&mut bench, online(1));
+    let waiting = bench.pass(LAPSE);
+    assert_eq!((ids(&waiting), refusals(&waiting)), (vec![], vec![]));
+    let mut actions = bench.list(&without(&["t1", "t2", "t3"], &killed));
+    actions.extend(bench.pass(SECOND / 10));
+    assert_eq!(refusals(&actions), [(1, Reason::Poison)]);
+    assert_eq!(refusals(&bench.submit(Request { id: 2, ..online(1) })), [(2, Reason::Poison)]);
+}
+
+/// Guards against an innocent request that is refused for an hour after a cut that made the list drop living targets.
+#[test]
+fn a_verdict_ends_when_a_target_that_it_blames_answers_or_returns() {
+    for answers in [true, false] {
+        let mut bench = registered(&["t1", "t2", "t3"]);
+        let killed = kill_two(&mut bench, online(1));
+        bench.pass(SECOND);
+        for target in &killed {
+            bench.probed(target, true);
+        }
+        let placed: Vec<_> =
+            (10..22).flat_map(|id| dispatches(&bench.submit(online(id)))).collect();
+        let running = placed.iter().find(|it| killed.contains(&it.1)).map(|it| it.0);
+        bench.list(&without(&["t1", "t2", "t3"], &killed));
+        assert_eq!(refusals(&bench.pass(SECOND / 2)), [(1, Reason::Poison)]);
+        let actions = match answers {
+            true => {
+                let id = running.expect("a request runs on a target that is taken for dead");
+                bench.event(Event::FirstByte { id })
+            }
+            false => bench.list(&list(&["t1", "t2", "t3"])),
+        };
+        let lifted = |it: &Action| matches!(it, Action::LiftVerdict { .. });
+        assert!(actions.iter().any(lifted), "{actions:?}");
+        assert_eq!(refusals(&bench.submit(Request { id: 2, ..online(1) })), []);
+    }
+}
+
+/// Guards against an answer that was already on its way when its target died and that clears the request which killed it.
+#[test]
+fn an_answer_to_an_earlier_attempt_does_not_refute_a_death() {
+    let mut bench = registered(&["t1", "t2", "t3"]);
+    let early = dispatches(&bench.submit(online(7)));
+    bench.pass(SECOND / 10);
+    let killed = kill_two(&mut bench, online(1));
+    bench.event(Event::FirstByte { id: 7 });
+    bench.complete(7);
+    bench.list(&without(&["t1", "t2", "t3"], &killed));
+    assert_eq!(refusals(&bench.pass(SECOND / 2)), [(1, Reason::Poison)], "{early:?} {killed:?}");
+}
+
+/// Guards against a request that waits for the list of targets past its deadline instead of being answered at once.
+#[test]
+fn a_request_whose_deadline_comes_before_the_confirmation_is_answered_at_once() {
+    let mut bench = registered(&["t1", "t2", "t3"]);
+    let deadline = bench.now + 2 * SECOND;
+    let mut actions = Vec::new();
+    bench.submit(Request { deadline, ..online(1) });
+    for _ in 0..2 {
+        actions.extend(lose(&mut bench, 1));
+        actions.extend(bench.pass(SECOND / 5));
+    }
+    assert_eq!(refusals(&actions), [(1, Reason::TargetFailed)]);
+}
+
+fn registered(names: &[&str]) -> Bench {
+    Bench::new(&list(names))
+}
+
+fn list(names: &[&str]) -> Vec<TargetInfo> {
+    names.iter().map(|it| TargetInfo { registered: true, ..target(it, "z1", 4) }).collect()
+}
+
+fn without(names: &[&str], gone: &[Name]) -> Vec<TargetInfo> {
+    list(names).into_iter().filter(|it| !gone.contains(&it.name)).collect()
+}
+
+fn lose(bench: &mut Bench, id: u64) -> Vec<Action> {
+    bench.event(Event::FailedAfterSend { id, cause: FailureCause::ConnectionLost })
+}
+
+/// Lets time pass while every target answers its probes.
+fn pass_reachable(bench: &mut Bench, duration: Duration) -> Vec<Action> {
+    let end = bench.now + duration;
+    let mut actions = Vec::new();
+    while bench.now < end {
+        let mut done = bench.pass(SECOND / 20);
+        let probed = done.iter().filter_map(|it| match it {
+            Action::Probe { target, .. } => Some(target.clone()),
+            _ => None,
+        });
+        for target in probed.collect::<Vec<_>>() {
+            done.extend(bench.probed(&target, true));
+        }
+        actions.extend(done);
+    }
+    actions
+}
+
+/// Submits a request that loses two targets, and returns those.
+fn kill_two(bench: &mut Bench, request: Request) -> Vec<Name> {
+    let id = request.id;
+    let mut placed = dispatches(&bench.submit(request));
+    placed.extend(dispatches(&lose(bench, id)));
+    placed.extend(dispatches(&bench.pass(SECOND / 5)));
+    lose(bench, id);
+    assert_eq!(placed.len(), 2, "{placed:?}");
+    placed.into_iter().map(|it| it.1).collect()
+}
