Let the operator's limits of callers' connections replace those of the settings

Change: the server reads its limits through a shared cell, which each accepted configuration replaces; they hold from the next request of a connection on.

Ruled out: to take the smaller of both limits; a body that the operator allows must not be refused.

--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -151,7 +151,7 @@
         FleetSource::Document => api::callers_app(Arc::clone(cx)),
         FleetSource::Operator => api::ingress::app(Arc::clone(cx)),
     };
-    Server::bind(listen, caller_limits(&cx.settings), app)
+    Server::bind(listen, cx.caller_limits.clone(), app)
         .await
         .with_context(|| format!("cannot listen on {listen}"))
 }
@@ -250,17 +250,6 @@
     }
 }
 
-fn caller_limits(settings: &Settings) -> ServerLimits {
-    let limits = &settings.limits;
-    ServerLimits {
-        max_connections: limits.connections,
-        max_head_bytes: limits.head_bytes,
-        max_body_bytes: limits.body_bytes as u64,
-        idle_timeout: Duration::from_millis(limits.idle_ms),
-        ..ServerLimits::default()
-    }
-}
-
 fn admin_limits() -> ServerLimits {
     ServerLimits { max_connections: 64, ..ServerLimits::default() }
 }
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -3,8 +3,9 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use fleet::QualifiedName;
+use http_edge::server::ServerLimits;
 use platform::{
-    configuration::{self, Configuration},
+    configuration::{self, CallerLimits, Configuration},
     registry::{self, RegisteredTarget},
 };
 use policy::dispatch::TargetInfo;
@@ -45,13 +46,19 @@
 }
 
 fn take_over(cx: &Arc<Shared>, configuration: Configuration) {
-    let Configuration { version, document, .. } = configuration;
+    let Configuration { version, document, limits } = configuration;
     let routes = document.host_routes.len();
     let accounts = document.accounts.len();
     let next = InForce::of_document(version, document);
     match config_sync::advance(cx, next) {
         Some(_) => {
-            info!(cx.log, "configuration taken"; "version" => version, "routes" => routes, "accounts" => accounts)
+            set_caller_limits(cx, limits);
+            info!(
+                cx.log, "configuration taken"; "version" => version, "routes" => routes, "accounts" => accounts,
+                "head_bytes" => limits.head_bytes, "body_bytes" => limits.body_bytes,
+                "head_timeout_ms" => limits.head_timeout.as_millis() as u64,
+                "idle_timeout_ms" => limits.idle_timeout.as_millis() as u64
+            );
         }
         None => {
             warn!(cx.log, "older configuration passed over"; "version" => version, "in_force" => cx.in_force.number());
@@ -59,6 +66,18 @@
     }
 }
 
+/// Lets the operator's limits replace those of the settings.
+fn set_caller_limits(cx: &Shared, limits: CallerLimits) {
+    let CallerLimits { head_bytes, body_bytes, head_timeout, idle_timeout } = limits;
+    cx.caller_limits.set(ServerLimits {
+        max_head_bytes: head_bytes,
+        max_body_bytes: body_bytes,
+        head_timeout,
+        idle_timeout,
+        ..(*cx.caller_limits.get()).clone()
+    });
+}
+
 /// Follows the registered targets until the daemon ends.
 pub async fn follow_targets(cx: Arc<Shared>) {
     let store = cx.platform_store().clone();
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
+use http_edge::server::ServerLimits;
 use stdx::{
     Name,
     jsonc::{Result, Source, Step},
@@ -112,7 +113,8 @@
 }
 
 wire_type! {
-    /// Limits that protect the daemon itself.
+    /// Limits that protect the daemon itself. Where an operator declares limits of heads, bodies and idle connections,
+    /// those replace the ones here.
     #[serde(default)]
     pub struct Limits {
         /// Connections from callers.
@@ -202,6 +204,19 @@
     }
 }
 
+impl Limits {
+    /// Returns the limits of callers' connections.
+    pub fn of_callers(&self) -> ServerLimits {
+        ServerLimits {
+            max_connections: self.connections,
+            max_head_bytes: self.head_bytes,
+            max_body_bytes: self.body_bytes as u64,
+            idle_timeout: Duration::from_millis(self.idle_ms),
+            ..ServerLimits::default()
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -10,7 +10,7 @@
 
 use http_edge::{
     client::Client,
-    server::{Caller, ConnectionId},
+    server::{Caller, ConnectionId, SharedLimits},
     signal::Signal,
 };
 use kv_store::Store;
@@ -46,6 +46,8 @@
     platform_store: PlatformStore,
     /// The control thread.
     pub control: ControlHandle,
+    /// The limits of callers' connections, which the configuration may replace.
+    pub caller_limits: SharedLimits,
     /// The client towards targets.
     pub client: Client,
     /// The configuration in force.
@@ -97,6 +99,7 @@
         let Parts { settings, incarnation, clock, log, dropped_lines, store, control, client } =
             parts;
         Self {
+            caller_limits: settings.limits.of_callers().into(),
             settings,
             incarnation,
             clock,
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -246,6 +246,25 @@
     Ok(())
 }
 
+// Guards against limits of the operator that only those of the settings stand in for.
+#[async_std::test]
+async fn the_limits_of_the_operator_replace_those_of_the_settings() -> io::Result<()> {
+    const BODY_BYTES: usize = 1_000;
+    let target = Target::start(Behaviour::Status(200)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let large = || Call::post(LOOKUPS, vec![b'x'; BODY_BYTES + 1]).key(KEY);
+    assert_eq!(site.send(large()).await.status, 200);
+    operator::configure_limits(&site.platform, 5, &[KEY], BODY_BYTES as u64, 300);
+    let refused = async || site.send(large()).await.status == 413;
+    wait_until("a larger body is refused", refused).await?;
+    assert_eq!(site.send(call(LOOKUPS, "r-1")).await.status, 200);
+    let mut idle = TcpStream::connect(site.callers()).await?;
+    let since = Instant::now();
+    assert_eq!(idle.read(&mut [0; 1]).await?, 0, "the idle connection is closed");
+    assert!((300..3_000).contains(&since.elapsed().as_millis()), "{:?}", since.elapsed());
+    Ok(())
+}
+
 // Guards against a configuration change that is lost when the store drops its history along with the watches.
 #[async_std::test]
 async fn a_change_made_while_watches_hear_nothing_comes_into_force() -> io::Result<()> {
--- a/crates/http-edge/src/server/connection.rs
+++ b/crates/http-edge/src/server/connection.rs
@@ -86,7 +86,7 @@
                 Ok(None) => Next::Close,
                 Err(e) => {
                     count(&self.cx.counters.rejected);
-                    match answer_problem(&self.cx.limits, self.stream, e.into_problem()).await {
+                    match answer_problem(&self.cx.limits(), self.stream, e.into_problem()).await {
                         Ok(()) => Next::Linger,
                         Err(_) => Next::Close,
                     }
@@ -94,7 +94,7 @@
             };
             match next {
                 Next::Continue => {}
-                Next::Linger => return linger(&self.cx.limits, self.stream).await,
+                Next::Linger => return linger(&self.cx.limits(), self.stream).await,
                 Next::Close => return,
             }
         }
@@ -102,7 +102,7 @@
 
     /// Reads the next head; `None` if the connection ends between two requests.
     async fn read_head(&self) -> Result<Option<Head>, HeadError> {
-        let limits = &self.cx.limits;
+        let limits = self.cx.limits();
         let waiting_since = Instant::now();
         let mut started = None;
         loop {
@@ -156,7 +156,7 @@
     }
 
     fn check_body(&self, head: Head) -> Result<Head, HeadError> {
-        let limit = self.cx.limits.max_body_bytes;
+        let limit = self.cx.limits().max_body_bytes;
         match head.framing {
             Framing::Length(len) if len > limit => Err(HeadError::BodyTooLarge(limit)),
             _ => Ok(head),
@@ -202,7 +202,7 @@
     }
 
     fn attach_body(&self, req: &mut Request, framing: Framing, expects_continue: bool) {
-        let limits = &self.cx.limits;
+        let limits = self.cx.limits();
         let decoder = BodyDecoder::new(framing, limits.max_body_bytes);
         let body = self.input.start_body(decoder, expects_continue, limits.body_gap_timeout);
         let len = match framing {
@@ -271,7 +271,7 @@
                     None => break,
                 }
             }
-            write_in_time(&self.cx.limits, self.stream, &buf[..n]).await?;
+            write_in_time(&self.cx.limits(), self.stream, &buf[..n]).await?;
             if let Some(end) = end {
                 return end;
             }
--- a/crates/http-edge/src/server/mod.rs
+++ b/crates/http-edge/src/server/mod.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
@@ -70,6 +70,28 @@
     }
 }
 
+/// Limits that can be replaced while the server runs; clones share them.
+#[derive(Debug, Clone)]
+pub struct SharedLimits(Arc<RwLock<Arc<ServerLimits>>>);
+
+impl SharedLimits {
+    /// Returns the limits of this moment.
+    pub fn get(&self) -> Arc<ServerLimits> {
+        Arc::clone(&self.0.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the limits; they hold from the next request of each connection on.
+    pub fn set(&self, limits: ServerLimits) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(limits);
+    }
+}
+
+impl From<ServerLimits> for SharedLimits {
+    fn from(limits: ServerLimits) -> Self {
+        Self(Arc::new(RwLock::new(Arc::new(limits))))
+    }
+}
+
 /// Counters since the start of the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServerStats {
@@ -103,7 +125,7 @@
 
 /// What the connections of one server share.
 pub(crate) struct Shared<S> {
-    pub(crate) limits: ServerLimits,
+    limits: SharedLimits,
     pub(crate) app: tide::Server<S>,
     pub(crate) draining: Signal,
     /// Set when every answer ends its connection.
@@ -121,6 +143,10 @@
         self.callers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn limits(&self) -> Arc<ServerLimits> {
+        self.limits.get()
+    }
+
     fn refusing(&self) -> MutexGuard<'_, usize> {
         self.refusing.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -147,12 +173,12 @@
     /// Fails if the address can't be bound.
     pub async fn bind(
         addr: SocketAddr,
-        limits: ServerLimits,
+        limits: impl Into<SharedLimits>,
         app: tide::Server<S>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let local_addr = listener.local_addr()?;
-        let shared = new_shared(limits, app);
+        let shared = new_shared(limits.into(), app);
         let cx = Arc::clone(&shared);
         task::spawn(async move { accept_loop(&cx, listener.incoming()).await });
         Ok(Self { shared, local_addr: Some(local_addr) })
@@ -163,7 +189,7 @@
     where
         I: Stream<Item = io::Result<TcpStream>> + Send + Unpin + 'static,
     {
-        let shared = new_shared(limits, app);
+        let shared = new_shared(limits.into(), app);
         let cx = Arc::clone(&shared);
         task::spawn(async move { accept_loop(&cx, incoming).await });
         Self { shared, local_addr: None }
@@ -225,7 +251,7 @@
     }
 }
 
-fn new_shared<S>(limits: ServerLimits, app: tide::Server<S>) -> Arc<Shared<S>> {
+fn new_shared<S>(limits: SharedLimits, app: tide::Server<S>) -> Arc<Shared<S>> {
     Arc::new(Shared {
         limits,
         app,
@@ -280,7 +306,7 @@
     // Small writes of a streamed answer must not wait for the acknowledgement of earlier ones.
     let _ = stream.set_nodelay(true);
     let mut callers = cx.callers();
-    if callers.len() >= cx.limits.max_connections {
+    if callers.len() >= cx.limits().max_connections {
         drop(callers);
         refuse(cx, stream);
         return;
@@ -306,7 +332,7 @@
     drop(refusing);
     let cx = Arc::clone(cx);
     task::spawn(async move {
-        connection::refuse(&cx.limits, stream).await;
+        connection::refuse(&cx.limits(), stream).await;
         *cx.refusing() -= 1;
     });
 }
