Make fewer calls to the store: claims, reads at rest, one index, no read per job

Each of 7 entry daemons read all claims every 2 s for ever. Workers followed the index and the claims with two watches and two reads. Each submission read the record of its job, which is new nearly always.

Change: slots are claimed once the holders have been the same for 500 ms, those of the own rank first. Claims are read every 10 s instead of 2 s if the holders have been the same for 10 s and the own part is held. Index and claims lie under one prefix (`work/index/`). The record is read only where the account is full.

Ruled out: to answer reads of results without the store (550 of the calls), as a daemon could then miss a result that was read elsewhere.

New tests `instances_that_start_together_claim_each_slot_once` and `instances_at_rest_read_the_claims_rarely_and_soon_again_after_a_change` fail without the change (352 writes for 60 slots; 82 reads in 60 s).

--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -65,8 +65,10 @@
     let transaction = submission.transaction().map_err(|e| malformed(e.to_string()))?;
     if terms.max_waiting_tokens.is_some() {
         let open = open_jobs(&cx).await.map_err(store_problem)?;
-        let is_known = read(&cx, &submission.id).await.map_err(store_problem)?.is_some();
-        if !is_known && !submission::fits(&submission, open.iter()) {
+        // A job that was accepted before is no new one; the transaction finds out where there is room.
+        if !submission::fits(&submission, open.iter())
+            && read(&cx, &submission.id).await.map_err(store_problem)?.is_none()
+        {
             let detail = "the account has as many tokens waiting as it may";
             return Err(Problem::new(ProblemKind::RateLimited, Execution::NotRun, detail)
                 .with_retry_after(FULL_RETRY));
--- a/crates/borageshed/src/job_work/index.rs
+++ b/crates/borageshed/src/job_work/index.rs
@@ -3,11 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
-use futures::future::{Either, select};
-use jobs::{
-    JobId, OpenJob,
-    key::{CLAIM_PREFIX, OPEN_PREFIX},
-};
+use jobs::{JobId, OpenJob, key::FOLLOWED_PREFIX};
 use kv_store::WatchEvent;
 use slog::warn;
 use stdx::Name;
@@ -58,32 +54,21 @@
     cx: &Shared,
     on_change: impl Fn(IndexChange) -> bool,
 ) -> kv_store::Result<bool> {
-    let claims = cx.store.range(CLAIM_PREFIX).await?;
-    let index = cx.store.range(OPEN_PREFIX).await?;
+    let listing = cx.store.range(FOLLOWED_PREFIX).await?;
     cx.platform_answered();
-    let open = index.entries.iter().filter_map(|it| open_job(cx, it)).collect();
-    let claimed = claims.entries.iter().filter_map(claim).collect();
+    let open = listing.entries.iter().filter_map(|it| open_job(cx, it)).collect();
+    let claimed = listing.entries.iter().filter_map(claim).collect();
     if !on_change(IndexChange::Listed { open, claimed }) {
         return Ok(false);
     }
-    let opened = cx.store.watch(OPEN_PREFIX, index.revision.next());
-    let claimed = cx.store.watch(CLAIM_PREFIX, claims.revision.next());
+    let changes = cx.store.watch(FOLLOWED_PREFIX, listing.revision.next());
     let until = cx.clock.now() + REREAD;
     loop {
-        let next = select(Box::pin(opened.next()), Box::pin(claimed.next()));
-        let Ok(next) = timeout(until.since(cx.clock.now()), next).await else { return Ok(true) };
-        let (Either::Left((event, _)) | Either::Right((event, _))) = next;
+        let next = changes.next();
+        let Ok(event) = timeout(until.since(cx.clock.now()), next).await else { return Ok(true) };
         let change = match event {
-            Some(WatchEvent::Put(entry)) if entry.key.starts_with(CLAIM_PREFIX) => {
-                claim(&entry).map(|(id, owner)| IndexChange::Claimed(id, owner))
-            }
-            Some(WatchEvent::Put(entry)) => {
-                open_job(cx, &entry).map(|(id, job)| IndexChange::Open(id, job))
-            }
-            Some(WatchEvent::Delete { key, .. }) if key.starts_with(CLAIM_PREFIX) => {
-                JobId::of_claim(&key).map(IndexChange::ClaimEnded)
-            }
-            Some(WatchEvent::Delete { key, .. }) => JobId::of_open(&key).map(IndexChange::Closed),
+            Some(WatchEvent::Put(entry)) => written(cx, &entry),
+            Some(WatchEvent::Delete { key, .. }) => removed(&key),
             Some(WatchEvent::Reset) | None => return Ok(true),
         };
         if let Some(change) = change
@@ -94,6 +79,18 @@
     }
 }
 
+fn written(cx: &Shared, entry: &kv_store::Entry) -> Option<IndexChange> {
+    match claim(entry) {
+        Some((id, owner)) => Some(IndexChange::Claimed(id, owner)),
+        None => open_job(cx, entry).map(|(id, job)| IndexChange::Open(id, job)),
+    }
+}
+
+fn removed(key: &str) -> Option<IndexChange> {
+    let claim_ended = JobId::of_claim(key).map(IndexChange::ClaimEnded);
+    claim_ended.or_else(|| JobId::of_open(key).map(IndexChange::Closed))
+}
+
 fn claim(entry: &kv_store::Entry) -> Option<(JobId, Name)> {
     let owner = Name::new(String::from_utf8_lossy(&entry.value));
     Some((JobId::of_claim(&entry.key)?, owner))
--- a/crates/jobs/src/key.rs
+++ b/crates/jobs/src/key.rs
@@ -3,10 +3,12 @@
 use serde::{Deserialize, Serialize};
 use stdx::{Name, value_type};
 
+/// The prefix of the index and of the claims, which daemons that run items follow with one call.
+pub const FOLLOWED_PREFIX: &str = "work/index/";
 /// The prefix of the index of jobs with unfinished items.
-pub const OPEN_PREFIX: &str = "work/open/";
+pub const OPEN_PREFIX: &str = "work/index/open/";
 /// The prefix of the claims, which exist as long as their owner's lease.
-pub const CLAIM_PREFIX: &str = "work/claim/";
+const CLAIM_PREFIX: &str = "work/index/claim/";
 const JOB_PREFIX: &str = "work/job/";
 
 /// The longest id of a job, in bytes; with it all keys stay below the 200 bytes that the service takes.
--- a/crates/jobs/tests/submission.rs
+++ b/crates/jobs/tests/submission.rs
@@ -21,7 +21,7 @@
         .collect();
     expect![[r#"
         work/job/job-1/record {"origin":"operator","account":"acme","service":"engine","host":"shop.example","total":2,"parts":1,"due_ms":1018000,"give_up_ms":1060000,"max_attempts":2,"listed":[],"cancelled":false}
-        work/open/job-1 {"origin":"operator","account":"acme","route":"route","due_ms":1018000,"tokens":200}
+        work/index/open/job-1 {"origin":"operator","account":"acme","route":"route","due_ms":1018000,"tokens":200}
         work/job/job-1/items/0000 [{"id":"i-1","path":"/jobs/x","headers":{},"body":"BwcH","tokens":100},{"id":"i-2","path":"/jobs/x","headers":{},"body":"","tokens":100}]
     "#]]
     .assert_eq(&(text.join("\n") + "\n"));
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -28,8 +28,14 @@
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(10);
 /// How often an instance that holds slots reads all claims.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
-/// How often the others do; a holder that has changed meanwhile only costs them a loan request.
-const OBSERVER_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// How often the others do, and those whose slots and fellow holders have not changed for [`REST_TIME`]; a holder that has
+/// changed meanwhile only costs them a loan request.
+const RARE_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// How long the holders must be the same before an instance claims slots. Daemons that start together would otherwise each
+/// claim all slots before they know of each other, and give most of them up again.
+const CLAIM_DELAY: Duration = Duration::from_millis(500);
+/// How long after a change of the holders their slots may still move.
+const REST_TIME: Duration = Duration::from_secs(10);
 /// Up to so many instances of a failure domain hold slots each, so that the loss of one costs a small part of the rates.
 const MAX_HOLDERS: usize = 4;
 /// In larger failure domains so many do: with more of them, small accounts would be cut into parts of less than a request,
@@ -108,6 +114,9 @@
     /// Whether a complete read has arrived; before that no slot is known to be free.
     is_informed: bool,
     is_draining: bool,
+    /// The instances that hold slots, as of the last tick, and since when they are the same.
+    holders: BTreeSet<Name>,
+    same_since: Timestamp,
     rng: Rng,
 }
 
@@ -168,6 +177,8 @@
             read_at: None,
             is_informed: false,
             is_draining: false,
+            holders: BTreeSet::new(),
+            same_since: Timestamp::ZERO,
             rng,
         }
     }
@@ -247,11 +258,11 @@
     /// `holders` are the instances that hold slots; others only learn whom to borrow from.
     pub fn tick(&mut self, now: Timestamp, holders: &BTreeSet<Name>) -> Vec<SlotAction> {
         let mut actions = Vec::new();
-        let is_settled = self.slots.iter().any(|it| it.holder().is_some());
-        let interval = match holders.contains(&self.id) || !is_settled {
-            true => READ_INTERVAL,
-            false => OBSERVER_READ_INTERVAL,
-        };
+        if self.holders != *holders {
+            self.holders = holders.clone();
+            self.same_since = now;
+        }
+        let interval = self.read_interval(now);
         if self.read_at.is_none_or(|at| now.since(at) >= interval) {
             self.read_at = Some(now);
             self.reads += 1;
@@ -276,6 +287,20 @@
         actions
     }
 
+    fn read_interval(&self, now: Timestamp) -> Duration {
+        let is_settled = self.slots.iter().any(|it| it.holder().is_some());
+        let has_quota = || {
+            let held = self.slots.iter().filter(|it| it.is_usable(now)).count();
+            held == self.quota(now, &self.holders)
+        };
+        let is_at_rest =
+            || now.since(self.same_since) >= REST_TIME && !self.is_draining && has_quota();
+        match is_settled && (!self.holders.contains(&self.id) || is_at_rest()) {
+            true => RARE_READ_INTERVAL,
+            false => READ_INTERVAL,
+        }
+    }
+
     /// Returns this instance's even part of the slots that live instances can hold.
     fn quota(&self, now: Timestamp, members: &BTreeSet<Name>) -> usize {
         if self.is_draining || !members.contains(&self.id) {
@@ -283,10 +308,15 @@
         }
         let obtainable =
             self.slots.iter().filter(|it| self.is_obtainable(now, it, members)).count();
-        let rank = members.iter().take_while(|it| **it < self.id).count();
+        let rank = self.rank(members);
         obtainable / members.len() + usize::from(rank < obtainable % members.len())
     }
 
+    /// Returns how many instances go before this one.
+    fn rank(&self, members: &BTreeSet<Name>) -> usize {
+        members.iter().take_while(|it| **it < self.id).count()
+    }
+
     fn is_obtainable(&self, now: Timestamp, slot: &Slot, members: &BTreeSet<Name>) -> bool {
         slot.holder().is_none_or(|holder| members.contains(holder)) || self.has_lapsed(now, slot)
     }
@@ -329,6 +359,9 @@
     }
 
     fn claims(&mut self, now: Timestamp, quota: usize) -> Vec<SlotAction> {
+        if now.since(self.same_since) < CLAIM_DELAY {
+            return Vec::new();
+        }
         let own = |slot: &Slot| {
             let claimed = slot.write.as_ref().and_then(|it| it.record.holder.as_ref());
             slot.stopped_at.is_none() && (slot.holder() == Some(&self.id) || claimed.is_some())
@@ -341,8 +374,10 @@
         let mut free: Vec<_> = (0..self.slots.len())
             .filter(|&it| self.slots[it].write.is_none() && can_claim(&self.slots[it]))
             .collect();
-        // Instances that claim at the same time should try different slots.
+        // Instances that claim at the same time should try different slots: first those of their own rank.
         free.shuffle(&mut self.rng);
+        let (rank, count) = (self.rank(&self.holders), self.holders.len().max(1));
+        free.sort_by_key(|number| number % count != rank);
         free.truncate(missing);
         free.into_iter()
             .map(|number| {
--- a/crates/policy/src/slots/tests.rs
+++ b/crates/policy/src/slots/tests.rs
@@ -65,6 +65,33 @@
     assert_eq!(world.held(), [30, 30, 0]);
 }
 
+/// Guards against daemons that start together, each claim all slots and give most of them up again.
+#[test]
+fn instances_that_start_together_claim_each_slot_once() {
+    let mut world = World::new(1, 4, 0.0);
+    world.is_up.fill(false);
+    world.run(2, false);
+    world.is_up.fill(true);
+    world.run(40, false);
+    assert_eq!(world.held(), [15, 15, 15, 15]);
+    let writes = world.revision + world.lost;
+    assert_eq!(writes, u64::from(SLOTS), "each slot is written once");
+}
+
+/// Guards against reads of all claims every two seconds by a fleet where nothing changes.
+#[test]
+fn instances_at_rest_read_the_claims_rarely_and_soon_again_after_a_change() {
+    let mut world = World::new(1, 3, 0.0);
+    world.run(100, false);
+    world.reads = 0;
+    world.run(240, false);
+    assert!(world.reads <= 3 * 7, "{} reads in 60 s", world.reads);
+    world.is_up[2] = false;
+    world.keepers[2].drain();
+    world.run(16, false);
+    assert_eq!(world.held(), [30, 30, 0], "the slots of a drained instance are taken within 4 s");
+}
+
 /// Instances with clocks of their own over a store that loses answers and applies writes late.
 struct World {
     now_ms: u64,
@@ -79,6 +106,8 @@
     store: BTreeMap<u32, StoredSlot>,
     revision: u64,
     late: Vec<(u64, usize, u32, Option<StoreRevision>, SlotRecord)>,
+    reads: usize,
+    lost: u64,
 }
 
 impl World {
@@ -95,6 +124,8 @@
             store: BTreeMap::new(),
             revision: 0,
             late: Vec::new(),
+            reads: 0,
+            lost: 0,
             rng,
             faults,
         }
@@ -148,6 +179,7 @@
             let is_lost = self.is_cut[index] || self.rng.random_bool(faults);
             match action {
                 SlotAction::ReadAll { read } if !is_lost => {
+                    self.reads += 1;
                     self.keepers[index].on_read(now, read, &self.store);
                 }
                 SlotAction::ReadAll { .. } => {}
@@ -174,6 +206,7 @@
     ) -> SlotOutcome {
         let current = self.store.get(&slot).cloned();
         if current.as_ref().map(|it| it.revision) != expected {
+            self.lost += 1;
             return SlotOutcome::Lost(current);
         }
         self.revision += 1;
