Log the request's id with what decided a refusal by the rate

Cause: the line with the inputs of such a refusal was written in the control thread, which does not know the request's id, so an engineer could only go by account and time.

Change: the refusal carries its inputs to the task of the request, which logs them.

--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -109,6 +109,8 @@
     match admission.next().await {
         Some(Directive::OverRate(over_rate)) => {
             admission.refused();
+            let account = &identity.account.name;
+            refusal::log_over_rate(cx, &cx.request_id(), account, &over_rate);
             Err(refusal::over_rate(&over_rate))
         }
         Some(Directive::Refuse(refused)) if refused.reason == dispatch::Reason::NoTarget => {
--- a/crates/borageshed/src/control/directive.rs
+++ b/crates/borageshed/src/control/directive.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use policy::dispatch::Refusal;
+use policy::{dispatch::Refusal, rate::Inputs};
 use stdx::{Name, record_type};
 
 record_type! {
@@ -31,5 +31,7 @@
     pub struct RateRefusal {
         /// After which time a token is expected.
         pub retry_after: Duration,
+        /// What the decision went by.
+        pub inputs: Inputs,
     }
 }
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -192,8 +192,7 @@
                 self.rate_waiting.insert(id, ticket);
             }
             Acquire::Refused { retry_after } => {
-                self.log_over_rate(now, &ticket, retry_after);
-                answer(&ticket.reply, Directive::OverRate(RateRefusal { retry_after }));
+                self.refuse_over_rate(now, &ticket, retry_after);
             }
         }
         self.perform_rate(now, actions);
@@ -362,26 +361,18 @@
                 }
                 RateAction::Refuse { waiter, retry_after } => {
                     if let Some(ticket) = self.rate_waiting.remove(&waiter.0) {
-                        self.log_over_rate(now, &ticket, retry_after);
-                        answer(&ticket.reply, Directive::OverRate(RateRefusal { retry_after }));
+                        self.refuse_over_rate(now, &ticket, retry_after);
                     }
                 }
             }
         }
     }
 
-    /// Logs the refusal of a request by its account's rate, with what decided it.
-    fn log_over_rate(&self, now: Timestamp, ticket: &Ticket, retry_after: Duration) {
+    /// Refuses a request whose account is over its rate.
+    fn refuse_over_rate(&self, now: Timestamp, ticket: &Ticket, retry_after: Duration) {
         let (Some(rate), Some(account)) = (&self.rate, ticket.rate_account) else { return };
-        let it = rate.limiter.inputs(now, account);
-        info!(
-            self.log, "request refused by the rate of its account";
-            "ticket" => ticket.request.id, "account" => %ticket.request.account,
-            "retry_after_ms" => retry_after.as_millis() as u64, "slots" => it.slots,
-            "level" => it.level.as_f64(), "borrowed" => it.borrowed.as_f64(),
-            "requested" => it.requested.as_f64(), "donors" => it.donors,
-            "late_donors" => it.late_donors
-        );
+        let inputs = rate.limiter.inputs(now, account);
+        answer(&ticket.reply, Directive::OverRate(RateRefusal { retry_after, inputs }));
     }
 
     fn perform(&mut self, actions: Vec<Action>) {
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -112,6 +112,9 @@
             // These concern an attempt that has ended meanwhile.
             Some(Directive::Yield | Directive::Cancel) => admission = Some(held),
             Some(directive) => {
+                if let Directive::OverRate(it) = &directive {
+                    refusal::log_over_rate(cx, &call.request_id, &call.account, it);
+                }
                 let problem = final_answer(held, &directive);
                 return match failed_answer {
                     Some(res) => Ended::Answered(res),
--- a/crates/borageshed/src/online/refusal.rs
+++ b/crates/borageshed/src/online/refusal.rs
@@ -1,9 +1,17 @@
 //! Final answers other than the target's.
 
+use fleet::QualifiedName;
 use http_edge::problem::{Execution, Problem, ProblemKind};
-use policy::dispatch::{self, Reason, Refusal};
+use policy::{
+    dispatch::{self, Reason, Refusal},
+    rate::Inputs,
+};
+use slog::info;
 
-use crate::control::{RateRefusal, handle::TooManyRequests};
+use crate::{
+    control::{RateRefusal, handle::TooManyRequests},
+    shared::Shared,
+};
 
 /// Returns the answer to a request that the dispatcher gave up.
 pub fn from_dispatcher(refusal: &Refusal) -> Problem {
@@ -33,6 +41,18 @@
         .with_retry_after(refusal.retry_after)
 }
 
+/// Logs what decided the refusal of a request by its account's rate.
+pub fn log_over_rate(cx: &Shared, request_id: &str, account: &QualifiedName, it: &RateRefusal) {
+    let Inputs { slots, level, borrowed, requested, donors, late_donors } = it.inputs;
+    info!(
+        cx.log, "request refused by the rate of its account";
+        "request" => request_id, "account" => %account,
+        "retry_after_ms" => it.retry_after.as_millis() as u64, "slots" => slots,
+        "level" => level.as_f64(), "borrowed" => borrowed.as_f64(),
+        "requested" => requested.as_f64(), "donors" => donors, "late_donors" => late_donors
+    );
+}
+
 /// Returns the answer to a request for which the daemon has no room.
 pub fn too_many_requests(error: &TooManyRequests) -> Problem {
     Problem::new(ProblemKind::Overloaded, Execution::NotRun, error.to_string())
--- a/crates/policy/src/rate/action.rs
+++ b/crates/policy/src/rate/action.rs
@@ -83,6 +83,7 @@
 
 record_type! {
     /// What a decision on a request goes by, for the log.
+    #[derive(Copy)]
     pub struct Inputs {
         /// The slots that this instance holds.
         pub slots: u32,
