Let batch items that have time leave more slots to online requests

They were placed within 20 ms; the wait was at targets that were full: batch held 100 to 190 of 352 slots, up to seven of eight on a target, and in a burst many daemons, which hear late of each other, sent more than the one free slot took before workers had made room.

Change: while all items of a worker would end well before they are due (twice the estimate), they are patient: for their first two seconds of waiting they leave three of eight slots free instead of one. The decision is `RunTimes::has_time`, the reserve a setting of the dispatcher.

--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -29,6 +29,7 @@
 };
 use http_types::Response;
 use policy::dispatch::{self, Class};
+use stdx::Timestamp;
 
 use crate::{
     control::Directive,
@@ -98,6 +99,7 @@
         cost: 1,
         bytes: 0,
         deadline: cx.clock.now() + STORE_LIMIT,
+        patient_until: Timestamp::ZERO,
         idempotent: true,
         resumable: false,
         max_attempts: u32::MAX,
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -21,7 +21,7 @@
 use super::{
     claiming,
     index::{self, IndexChange},
-    item,
+    item::{self, Manner},
     lease::LeaseEvent,
 };
 use crate::{
@@ -43,6 +43,10 @@
 const COMMIT_GAP: Duration = Duration::from_millis(120);
 /// The pause before results are stored again after a failure.
 const COMMIT_RETRY: Duration = Duration::from_millis(300);
+/// How long an item leaves more slots free than it must, if all items have time.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The items at a time that the worker counts on in any case when it judges whether all items have time.
+const MIN_SLOTS: usize = 8;
 /// The longest time that a target gets for an item.
 const MAX_ITEM_TIME: Duration = Duration::from_secs(120);
 
@@ -72,6 +76,8 @@
     claims: u64,
     waiting: usize,
     run_times: RunTimes,
+    /// Whether all items have time, as of the last tick.
+    has_time: bool,
 }
 
 struct OwnJob {
@@ -122,6 +128,7 @@
         claims: 0,
         waiting: 0,
         run_times: RunTimes::default(),
+        has_time: true,
     };
     while !worker.cx.draining.is_set() && !worker.cx.retiring.is_set() {
         let tick = Box::pin(task::sleep(TICK));
@@ -168,10 +175,20 @@
                 self.on_item_ended(&id, claim, index, *ended)
             }
             Event::Committed { id, claim, outcome } => self.on_committed(&id, claim, outcome),
-            Event::Tick => {}
+            Event::Tick => self.has_time = self.judge_time(clock::unix_millis()),
         }
     }
 
+    /// Returns whether all items that wait would end well before they are due.
+    fn judge_time(&self, unix_ms: u64) -> bool {
+        let waiting = self.own.values().flat_map(|job| job.run.waiting().map(move |it| (job, it)));
+        let mut items: Vec<_> = waiting.map(|(job, index)| candidate(job, index)).collect();
+        items.sort_unstable_by_key(|it| it.due_ms);
+        let running: usize = self.own.values().map(|it| it.items.len()).sum();
+        let slots = running.saturating_sub(self.waiting).max(MIN_SLOTS);
+        self.run_times.has_time(items, slots, unix_ms)
+    }
+
     fn index_changed(&mut self, change: IndexChange) {
         let now = self.cx.clock.now();
         match change {
@@ -325,12 +342,7 @@
             ready.map(move |index| (job, index))
         });
         let place = |(job, index): &(&OwnJob, usize)| {
-            let candidate = Candidate {
-                due_ms: job.run.record().due_ms,
-                tokens: job.run.item(*index).tokens,
-                events: job.begun.get(index).map_or(0, |it| it.output.events()),
-            };
-            self.run_times.place(&candidate, unix_ms)
+            self.run_times.place(&candidate(job, *index), unix_ms)
         };
         waiting.min_by_key(place).map(|(job, index)| (job.run.id().clone(), index))
     }
@@ -344,12 +356,16 @@
         };
         let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
-        let (claim, verdicts) = (job.claim, job.run.verdicts(index));
+        let claim = job.claim;
+        let manner = Manner {
+            verdicts: job.run.verdicts(index),
+            patience: if self.has_time { PATIENCE } else { Duration::ZERO },
+        };
         let placed_tx = events.clone();
         // Made outside the task, so that an item that is stopped before its task has begun is told of as well.
         let mut placed = Placed { events: placed_tx, is_told: false };
         let (run, handle) = abortable(async move {
-            let ended = item::run(&cx, &call, verdicts, output, || placed.tell()).await;
+            let ended = item::run(&cx, &call, manner, output, || placed.tell()).await;
             drop(placed);
             // The worker may have ended.
             let _ = events.try_send(Event::ItemEnded { id, claim, index, ended: Box::new(ended) });
@@ -439,6 +455,14 @@
     }
 }
 
+fn candidate(job: &OwnJob, index: usize) -> Candidate {
+    Candidate {
+        due_ms: job.run.record().due_ms,
+        tokens: job.run.item(index).tokens,
+        events: job.begun.get(&index).map_or(0, |it| it.output.events()),
+    }
+}
+
 fn call_of(cx: &Shared, record: &JobRecord, item: &jobs::Item, unix_ms: u64) -> Call {
     let left = Duration::from_millis(record.give_up_ms.saturating_sub(unix_ms));
     let time = left.clamp(Duration::from_secs(1), MAX_ITEM_TIME);
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -4,6 +4,9 @@
 //! requests take most of the slots. In the order of due times alone, every item would then be finished just after it is due.
 //! Items that can still be in time go first, of those the ones that were begun, since they free their slot soonest; what is
 //! late already uses what is left.
+//!
+//! While there is time, items are patient: they leave more of each target to online requests, whose bursts come without
+//! notice. [`RunTimes::has_time`] tells when that would make items late.
 
 use std::time::Duration;
 
@@ -18,6 +21,9 @@
 /// An item that was begun is stopped for online requests now and then, so it takes this much longer than it runs.
 const INTERRUPTIONS: f64 = 1.5;
 
+/// Items are patient while they would be in time if everything took this much longer: targets and other workers may fail.
+const PATIENCE_MARGIN: f64 = 2.0;
+
 record_type! {
     /// An item that waits.
     #[derive(Copy)]
@@ -86,6 +92,23 @@
         Duration::from_secs_f64(whole * (1.0 - done))
     }
 
+    /// Returns whether all items, in the order of their due times, would end well before those with `slots` of them running
+    /// at a time.
+    pub fn has_time(
+        &self,
+        items_by_due: impl IntoIterator<Item = Candidate>,
+        slots: usize,
+        unix_ms: u64,
+    ) -> bool {
+        let mut work = Duration::ZERO;
+        items_by_due.into_iter().all(|item| {
+            let left = self.left(&item).mul_f64(INTERRUPTIONS);
+            work += left;
+            let end = (work / slots.max(1) as u32 + left).mul_f64(PATIENCE_MARGIN);
+            unix_ms + end.as_millis() as u64 <= item.due_ms
+        })
+    }
+
     /// Returns the place of an item among those that wait.
     pub fn place(&self, item: &Candidate, unix_ms: u64) -> Place {
         let left = self.left(item).mul_f64(INTERRUPTIONS).as_millis() as u64;
--- a/crates/jobs/tests/order.rs
+++ b/crates/jobs/tests/order.rs
@@ -104,3 +104,21 @@
     let id = JobId::parse("job").expect("valid");
     assert_eq!(claim::delay(&id, &daemons[0], []), Duration::ZERO, "alone it waits for nobody");
 }
+
+// Guards against items that leave slots to online requests until they are late, and against some that never do.
+#[test]
+fn items_have_time_until_those_before_them_take_it() {
+    const SLOTS: usize = 8;
+    let mut times = RunTimes::default();
+    for _ in 0..100 {
+        times.record(TOKENS, EVENTS, Duration::from_secs(2));
+    }
+    let items = |count, due_ms| vec![Candidate { due_ms, tokens: TOKENS, events: 0 }; count];
+    let has_time = |count, due_ms| times.has_time(items(count, due_ms), SLOTS, 0);
+    assert!(times.has_time([], SLOTS, 0));
+    // An item takes 3 s with its interruptions, and twice that must fit.
+    assert!(has_time(1, 7_000));
+    assert!(!has_time(1, 6_000));
+    assert!(has_time(16, 18_000));
+    assert!(!has_time(17, 18_000));
+}
--- a/crates/policy/examples/dispatch-experiment/cost.rs
+++ b/crates/policy/examples/dispatch-experiment/cost.rs
@@ -114,6 +114,7 @@
         idempotent: true,
         resumable: false,
         max_attempts: u32::MAX,
+        patient_until: Timestamp::ZERO,
         prefix: Some(id % 64),
         fingerprint,
     }
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -340,6 +340,7 @@
             idempotent: true,
             resumable: false,
             max_attempts: u32::MAX,
+            patient_until: Timestamp::ZERO,
             prefix: None,
             fingerprint,
         }
--- a/crates/policy/src/dispatch/invariants.rs
+++ b/crates/policy/src/dispatch/invariants.rs
@@ -10,7 +10,7 @@
     dispatcher::Dispatcher,
     request::Class,
     service::{Held, Phase, Service},
-    target::Counts,
+    target::{Counts, Need},
 };
 
 #[derive(Debug, Default, PartialEq)]
@@ -69,7 +69,7 @@
         }
         let settings = &self.settings;
         let room = service.targets.values().any(|it| {
-            it.local && it.has_room(settings, Class::Online) && it.has_free_slot(settings)
+            it.local && it.has_room(settings, Need::Online) && it.has_free_slot(settings)
         });
         assert!(!room, "no online request waits while a local target has room");
         let in_the_way =
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -10,7 +10,7 @@
     request::{Action, Class, Reason},
     service::{Held, Phase, Service},
     settings::Settings,
-    target::Target,
+    target::{Need, Target},
 };
 
 impl Dispatcher {
@@ -127,7 +127,7 @@
         let mut free: Vec<_> = service
             .targets
             .values()
-            .filter(|it| it.has_room(settings, held.class()) && self.may_run(now, held, it))
+            .filter(|it| it.has_room(settings, held.need(now)) && self.may_run(now, held, it))
             .collect();
         let own_batch =
             |it: &Target| it.takes_work() && (it.stopping > 0 || !it.stoppable.is_empty());
@@ -261,7 +261,7 @@
             targets.filter(|it| it.takes_work() && self.may_run(now, held, it)).collect();
         if usable.iter().any(|it| {
             it.stopping > 0
-                || (it.has_room(&self.settings, Class::Online) && it.has_free_slot(&self.settings))
+                || (it.has_room(&self.settings, Need::Online) && it.has_free_slot(&self.settings))
         }) {
             return;
         }
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -42,6 +42,8 @@
         pub bytes: usize,
         /// The latest time at which the request may start.
         pub deadline: Timestamp,
+        /// Until when a batch request leaves more slots of a target free than it must.
+        pub patient_until: Timestamp,
         /// Whether the request may be run more than once.
         pub idempotent: bool,
         /// Whether another target may continue the answer where it broke off.
--- a/crates/policy/src/dispatch/service.rs
+++ b/crates/policy/src/dispatch/service.rs
@@ -11,7 +11,7 @@
     fair::FairQueue,
     request::{Class, Request},
     settings::Settings,
-    target::Target,
+    target::{Need, Target},
 };
 
 /// One service with its targets and waiting requests.
@@ -108,6 +108,13 @@
         self.request.class
     }
 
+    pub fn need(&self, now: Timestamp) -> Need {
+        match self.class() {
+            Class::Online => Need::Online,
+            Class::Batch => Need::Batch { is_patient: now < self.request.patient_until },
+        }
+    }
+
     /// Returns whether the request may run again after its attempt was interrupted.
     pub fn is_stoppable(&self) -> bool {
         self.class() == Class::Batch && self.request.idempotent
--- a/crates/policy/src/dispatch/settings.rs
+++ b/crates/policy/src/dispatch/settings.rs
@@ -21,6 +21,9 @@
         pub max_queued_bytes: usize,
         /// The slots per target that batch leaves free, so that the first online request of a burst finds one.
         pub batch_reserve: u32,
+        /// The share of a target's slots that batch leaves free while it is patient. Each daemon hears late of what the
+        /// others send, so in a burst many requests reach the same target before its batch work has made room.
+        pub patient_reserve: f64,
         /// The load of a prefix's preferred target, relative to the mean, above which another target is preferred.
         pub affinity_bound: f64,
         /// The estimated local wait above which a request goes to another failure domain.
@@ -69,6 +72,7 @@
             max_queued: 4_096,
             max_queued_bytes: 32 << 20,
             batch_reserve: 1,
+            patient_reserve: 0.375,
             affinity_bound: 1.25,
             spill_wait: Duration::from_millis(20),
             spill_limit: 0.8,
--- a/crates/policy/src/dispatch/suspects.rs
+++ b/crates/policy/src/dispatch/suspects.rs
@@ -56,7 +56,7 @@
         let on = on.filter(|it| it.takes_work() && self.may_run(now, held, it));
         match on {
             Some(_) if now < due => {}
-            Some(on) if may_start(&self.settings, held, on) => self.dispatch(now, id, target),
+            Some(on) if may_start(now, &self.settings, held, on) => self.dispatch(now, id, target),
             Some(on) if now < due + CLAIM_PATIENCE => {
                 if held.class() == Class::Online && on.stopping == 0 {
                     self.stop_newest(held.service, &target);
@@ -274,7 +274,7 @@
 }
 
 /// Returns whether the claimed target can take the suspect without the batch work in its way being stopped first.
-fn may_start(settings: &Settings, held: &Held, on: &Target) -> bool {
+fn may_start(now: Timestamp, settings: &Settings, held: &Held, on: &Target) -> bool {
     let can_stop = on.stopping > 0 || !on.stoppable.is_empty();
-    on.has_room(settings, held.class()) && (on.has_free_slot(settings) || !can_stop)
+    on.has_room(settings, held.need(now)) && (on.has_free_slot(settings) || !can_stop)
 }
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -11,6 +11,16 @@
     settings::Settings,
 };
 
+/// What room a request needs on a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Need {
+    Online,
+    Batch {
+        /// Whether the request leaves more slots free than it must.
+        is_patient: bool,
+    },
+}
+
 /// One target as this dispatcher sees it.
 #[derive(Debug)]
 pub(super) struct Target {
@@ -121,8 +131,8 @@
         self.listed && !matches!(state, HealthState::HeldDown | HealthState::Leaving)
     }
 
-    /// Returns whether the target may take a request of the class now.
-    pub fn has_room(&self, settings: &Settings, class: Class) -> bool {
+    /// Returns whether the target may take a request with such a need now.
+    pub fn has_room(&self, settings: &Settings, need: Need) -> bool {
         if !self.takes_work() || self.is_full {
             return false;
         }
@@ -131,14 +141,15 @@
             return false;
         }
         let limit = self.limit(settings);
-        match class {
+        match need {
             // The batch work of peers does not count: they stop it when they hear of the online request.
-            Class::Online => {
+            Need::Online => {
                 self.load() - self.peers.batch < limit && self.own.online < self.own_share(limit)
             }
-            Class::Batch => {
-                self.load() + settings.batch_reserve < limit
-                    && self.own.batch < self.own_batch_share(limit, settings.batch_reserve)
+            Need::Batch { is_patient } => {
+                let reserve = self.batch_reserve(settings, is_patient);
+                self.load() + reserve < limit
+                    && self.own.batch < self.own_batch_share(limit, reserve)
                     && self.own.batch < self.window.batch_at_start + self.window.allowed
             }
         }
@@ -221,6 +232,11 @@
         limit.saturating_sub(reserve + others).div_ceil(self.batch_contenders + 1)
     }
 
+    fn batch_reserve(&self, settings: &Settings, is_patient: bool) -> u32 {
+        let patient = f64::from(self.info.concurrency) * settings.patient_reserve;
+        settings.batch_reserve.max(if is_patient { patient as u32 } else { 0 })
+    }
+
     fn limit(&self, settings: &Settings) -> u32 {
         if self.local {
             return self.info.concurrency;
--- a/crates/policy/tests/dispatch_queue.rs
+++ b/crates/policy/tests/dispatch_queue.rs
@@ -239,3 +239,21 @@
     }
     assert_eq!(started, 4, "half of the eight slots stay free for the peer");
 }
+
+// The load: a burst of online requests through many instances, which hear late of each other, while batch fills the targets.
+// Guards against online requests that find every slot of a target taken although batch work could have waited.
+#[test]
+fn batch_leaves_more_slots_to_online_requests_while_it_is_patient() {
+    let mut bench = Bench::new(&[target("t1", "z1", 8)]);
+    let patient_until = bench.now + 2 * SECOND;
+    let mut placed = 0;
+    for id in 0..8 {
+        placed += ids(&bench.submit(Request { patient_until, ..batch(id) })).len();
+    }
+    placed += ids(&bench.pass(SECOND)).len();
+    assert_eq!(placed, 5, "three of eight slots stay free");
+    assert_eq!(ids(&bench.submit(online(100))).len(), 1, "online requests use them");
+    assert_eq!(ids(&bench.submit(Request { patient_until: bench.now, ..batch(101) })).len(), 0);
+    placed += ids(&bench.pass(2 * SECOND)).len();
+    assert_eq!(placed, 6, "one slot stays free once batch is no longer patient");
+}
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -47,6 +47,7 @@
         cost: 100,
         bytes: 100,
         deadline: Timestamp::from_millis(3_600_000),
+        patient_until: Timestamp::ZERO,
         idempotent: true,
         resumable: false,
         max_attempts: u32::MAX,
