Await the verdict on after the list has dropped the targets

An instance that waits for the verdict of the one which saw the second death took the death back as soon as its own list had dropped both targets; where that list is ahead, the request could run on a third target before the verdict arrives.

--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -341,7 +341,7 @@
             target.listed = targets.iter().any(|it| it.name == target.info.name);
         }
         let gone = service.targets.values().filter(|it| !it.listed);
-        gone.for_each(|it| self.poison.confirm_death(&it.info.name));
+        gone.for_each(|it| self.poison.confirm_death(now, &it.info.name));
         let mut changed = Vec::new();
         for info in targets {
             let local = info.failure_domain == self.settings.failure_domain;
--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -256,13 +256,12 @@
     }
 
     /// Notes that the list of targets no longer names a target, which confirms its death.
-    pub fn confirm_death(&mut self, target: &Name) {
+    pub fn confirm_death(&mut self, now: Timestamp, target: &Name) {
         if !self.is_blamed(target) {
             return;
         }
-        let runs = self.records.values_mut().flat_map(|it| &mut it.runs);
-        for run in runs.filter(|it| it.died && it.target == *target) {
-            run.may_live = false;
+        for record in self.records.values_mut() {
+            record.confirm(now, target);
         }
     }
 
@@ -464,7 +463,7 @@
         self.pending.is_none() && self.runs.iter().all(|it| it.in_flight == 0)
     }
 
-    /// Returns whether fewer deaths would be left without those of targets that may live.
+    /// Returns whether a target that died may live.
     fn may_be_acquitted(&self) -> bool {
         self.runs.iter().any(|it| it.died && it.may_live)
     }
@@ -474,6 +473,17 @@
         pending.due + patience
     }
 
+    /// Notes that the target of a death is gone. The list may reach the instance that decides on the verdict later.
+    fn confirm(&mut self, now: Timestamp, target: &Name) {
+        let died = self.runs.iter_mut().filter(|it| it.died && it.target == *target);
+        if died.map(|it| std::mem::take(&mut it.may_live)).fold(false, |any, it| any | it)
+            && let Some(pending) = &mut self.pending
+            && pending.started.is_none()
+        {
+            pending.due = pending.due.max(now + VERDICT_PATIENCE);
+        }
+    }
+
     /// Takes back the matching deaths.
     fn acquit(&mut self, matches: impl Fn(&Run) -> bool) {
         for run in self.runs.iter_mut().filter(|it| it.died && matches(it)) {
--- a/crates/policy/tests/dispatch_registered.rs
+++ b/crates/policy/tests/dispatch_registered.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use dispatch_support::{Bench, SECOND, dispatches, ids, online, refusals, target};
-use policy::dispatch::{Action, Event, FailureCause, Reason, Request, TargetInfo};
+use dispatch_support::{Bench, SECOND, dispatches, ids, online, refusals, service, target};
+use policy::dispatch::{Action, Event, FailureCause, Reason, Request, Suspicion, TargetInfo};
 use stdx::Name;
 
 mod dispatch_support;
@@ -50,6 +50,25 @@
     assert_eq!(refusals(&bench.submit(Request { id: 2, ..online(1) })), [(2, Reason::Poison)]);
 }
 
+/// Guards against a third target that the request kills through an instance whose list is ahead of the deciding one's.
+#[test]
+fn an_instance_that_awaits_a_verdict_goes_on_waiting_after_the_list_has_dropped_the_targets() {
+    let mut bench = registered(&["t1", "t2", "t3"]);
+    let request = online(1);
+    for target in ["t1", "t2"] {
+        let (fingerprint, service) = (request.fingerprint, service());
+        let death = Suspicion { fingerprint, service, target: target.into() };
+        bench.event(Event::PoisonSuspicion(death));
+    }
+    bench.submit(request.clone());
+    let mut actions = bench.pass(LAPSE);
+    actions.extend(bench.list(&list(&["t3"])));
+    actions.extend(bench.pass(SECOND * 2 / 5));
+    assert_eq!((ids(&actions), refusals(&actions)), (vec![], vec![]));
+    let verdict = Event::PoisonVerdict { fingerprint: request.fingerprint };
+    assert_eq!(refusals(&bench.event(verdict)), [(1, Reason::Poison)]);
+}
+
 /// Guards against an innocent request that is refused for an hour after a cut that made the list drop living targets.
 #[test]
 fn a_verdict_ends_when_a_target_that_it_blames_answers_or_returns() {
