--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -56,7 +56,7 @@
 
 /// What the dispatcher is told of an item besides the call.
 #[derive(Debug, Clone, Copy)]
-pub struct Manner {
+pub struct ItemTerms {
     /// How often the item was taken for poison.
     pub verdicts: u32,
     /// How long the item leaves more slots of a target free than it must.
@@ -68,7 +68,7 @@
 pub async fn run(
     cx: &Shared,
     call: &Call,
-    manner: Manner,
+    terms: ItemTerms,
     mut output: EventData,
     mut on_placed: impl FnMut(),
 ) -> Ended {
@@ -77,7 +77,7 @@
         placed_at.get_or_insert(cx.clock.now());
         on_placed();
     };
-    let (end, pause) = match run_admitted(cx, call, manner, &mut output, &mut note_placed).await {
+    let (end, pause) = match run_admitted(cx, call, terms, &mut output, &mut note_placed).await {
         Attempt::Ended(end) => (end, Duration::ZERO),
         Attempt::Next(_) | Attempt::Yielded => (ItemEnd::Interrupted, Duration::ZERO),
         Attempt::Refused(retry_after) => {
@@ -91,15 +91,15 @@
 async fn run_admitted(
     cx: &Shared,
     call: &Call,
-    manner: Manner,
+    terms: ItemTerms,
     output: &mut EventData,
     on_placed: &mut impl FnMut(),
 ) -> Attempt {
     let now = cx.clock.now();
     let mut req = call.dispatch_request(now);
-    req.patient_until = now + manner.patience;
+    req.patient_until = now + terms.patience;
     // A verdict holds for an hour, and one may be wrong: under another fingerprint the next run is judged by itself.
-    for (byte, salt) in req.fingerprint.iter_mut().zip(manner.verdicts.to_le_bytes()) {
+    for (byte, salt) in req.fingerprint.iter_mut().zip(terms.verdicts.to_le_bytes()) {
         *byte ^= salt;
     }
     let Ok(mut admission) = cx.control.submit(req, None) else {
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -21,7 +21,7 @@
 use super::{
     claiming,
     index::{self, IndexChange},
-    item::{self, Manner},
+    item::{self, ItemTerms},
     lease::LeaseEvent,
 };
 use crate::{
@@ -357,7 +357,7 @@
         let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
         let claim = job.claim;
-        let manner = Manner {
+        let terms = ItemTerms {
             verdicts: job.run.verdicts(index),
             patience: if self.has_time { PATIENCE } else { Duration::ZERO },
         };
@@ -365,7 +365,7 @@
         // Made outside the task, so that an item that is stopped before its task has begun is told of as well.
         let mut placed = Placed { events: placed_tx, is_told: false };
         let (run, handle) = abortable(async move {
-            let ended = item::run(&cx, &call, manner, output, || placed.tell()).await;
+            let ended = item::run(&cx, &call, terms, output, || placed.tell()).await;
             drop(placed);
             // The worker may have ended.
             let _ = events.try_send(Event::ItemEnded { id, claim, index, ended: Box::new(ended) });
