--- a/crates/policy/tests/loans.rs
+++ b/crates/policy/tests/loans.rs
@@ -120,6 +120,14 @@
     }
 }
 
+/// Guards against a refusal of an account within its rate because an instance that has just started knows no slots yet.
+#[test]
+fn a_request_right_after_the_start_waits_until_slots_are_known() {
+    let mut limiter = limiter(500.0, 500.0, 0, &[]).with_head_start(Duration::from_secs(1));
+    let (answer, _) = limiter.acquire(START + Duration::from_millis(30), account(), WaiterId(1));
+    assert_eq!(answer, Acquire::Waiting);
+}
+
 /// Guards against callers who wait until their deadline for tokens that have long been refilled.
 #[test]
 fn waiting_callers_are_looked_at_again_and_again() {
