Say once how a donor refills, which instances hold slots, and how many items are started

The estimate of a donor's level repeated the rule of its refill; the holders of slots were kept and passed along as well; the worker counted its started items in two places.

Change: one piece of code each; behaviour stays as it is, no test is touched.

--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -184,8 +184,7 @@
         let waiting = self.own.values().flat_map(|job| job.run.waiting().map(move |it| (job, it)));
         let mut items: Vec<_> = waiting.map(|(job, index)| candidate(job, index)).collect();
         items.sort_unstable_by_key(|it| it.due_ms);
-        let running: usize = self.own.values().map(|it| it.items.len()).sum();
-        let slots = running.saturating_sub(self.waiting).max(MIN_SLOTS);
+        let slots = self.started().saturating_sub(self.waiting).max(MIN_SLOTS);
         self.run_times.has_time(items, slots, unix_ms)
     }
 
@@ -321,11 +320,15 @@
         job.run.on_end(index, ended.end, clock::unix_millis());
     }
 
+    /// Returns the number of items that run or wait in the dispatcher.
+    fn started(&self) -> usize {
+        self.own.values().map(|it| it.items.len()).sum()
+    }
+
     /// Starts the most urgent items, as far as the dispatcher takes them.
     fn start_items(&mut self, now: Timestamp, unix_ms: u64) {
         loop {
-            let running: usize = self.own.values().map(|it| it.items.len()).sum();
-            if self.waiting >= MAX_WAITING || running >= MAX_ITEMS {
+            if self.waiting >= MAX_WAITING || self.started() >= MAX_ITEMS {
                 return;
             }
             let Some((id, index)) = self.most_urgent(now, unix_ms) else { return };
--- a/crates/policy/src/rate/borrower.rs
+++ b/crates/policy/src/rate/borrower.rs
@@ -240,11 +240,7 @@
         let Some(donor) = self.donors.iter().find(|it| it.peer == share.peer) else {
             return share.burst;
         };
-        let refill = if now < donor.busy_until {
-            Tokens::ZERO
-        } else {
-            share.rate.over(now.since(donor.known_at))
-        };
+        let refill = self.estimated_refill(now, share, now.since(donor.known_at));
         share.burst.min(donor.level + refill)
     }
 
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -277,7 +277,7 @@
         if !self.is_informed {
             return actions;
         }
-        let quota = self.quota(now, holders);
+        let quota = self.quota(now);
         self.stop_surplus(now, quota);
         for number in 0..self.slots.len() {
             actions.extend(self.own_slot_step(now, number));
@@ -291,7 +291,7 @@
         let is_settled = self.slots.iter().any(|it| it.holder().is_some());
         let has_quota = || {
             let held = self.slots.iter().filter(|it| it.is_usable(now)).count();
-            held == self.quota(now, &self.holders)
+            held == self.quota(now)
         };
         let is_at_rest =
             || now.since(self.same_since) >= REST_TIME && !self.is_draining && has_quota();
@@ -302,23 +302,23 @@
     }
 
     /// Returns this instance's even part of the slots that live instances can hold.
-    fn quota(&self, now: Timestamp, members: &BTreeSet<Name>) -> usize {
-        if self.is_draining || !members.contains(&self.id) {
+    fn quota(&self, now: Timestamp) -> usize {
+        if self.is_draining || !self.holders.contains(&self.id) {
             return 0;
         }
-        let obtainable =
-            self.slots.iter().filter(|it| self.is_obtainable(now, it, members)).count();
-        let rank = self.rank(members);
-        obtainable / members.len() + usize::from(rank < obtainable % members.len())
+        let obtainable = self.slots.iter().filter(|it| self.is_obtainable(now, it)).count();
+        let count = self.holders.len();
+        obtainable / count + usize::from(self.rank() < obtainable % count)
     }
 
     /// Returns how many instances go before this one.
-    fn rank(&self, members: &BTreeSet<Name>) -> usize {
-        members.iter().take_while(|it| **it < self.id).count()
+    fn rank(&self) -> usize {
+        self.holders.iter().take_while(|it| **it < self.id).count()
     }
 
-    fn is_obtainable(&self, now: Timestamp, slot: &Slot, members: &BTreeSet<Name>) -> bool {
-        slot.holder().is_none_or(|holder| members.contains(holder)) || self.has_lapsed(now, slot)
+    fn is_obtainable(&self, now: Timestamp, slot: &Slot) -> bool {
+        slot.holder().is_none_or(|holder| self.holders.contains(holder))
+            || self.has_lapsed(now, slot)
     }
 
     /// Returns whether the claim on a slot may be taken over: the holder has stopped using it, by any clock within the
@@ -376,7 +376,7 @@
             .collect();
         // Instances that claim at the same time should try different slots: first those of their own rank.
         free.shuffle(&mut self.rng);
-        let (rank, count) = (self.rank(&self.holders), self.holders.len().max(1));
+        let (rank, count) = (self.rank(), self.holders.len().max(1));
         free.sort_by_key(|number| number % count != rank);
         free.truncate(missing);
         free.into_iter()
