Let callers wait for the first word on rate slots after a start

Change: for two seconds after the start such callers are kept, up to the burst of their account, until their deadline of 200 ms. Those beyond the burst and those who come later are refused at once, as before.

Ruled out: keeping everybody without a bound, which holds back callers that no token can reach.

--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -41,6 +41,9 @@
 const RETRY_MIN: Duration = Duration::from_millis(1);
 /// The time after the start of an instance within which it takes back the slots of its earlier run.
 const HEAD_START_WINDOW: Duration = Duration::from_secs(5);
+/// For how long after the start of an instance its callers wait for the first word on slots instead of being refused; it
+/// covers a few calls to a store that is short of time, after which an outage is more likely.
+const SLOTS_KNOWN_TIME: Duration = Duration::from_secs(2);
 /// How often an account in use is looked at while callers wait or loans are in demand.
 const ACTIVE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -56,6 +59,8 @@
     /// The time whose refill the shares of the first slots hold, and until when slots count as such.
     head_start: Duration,
     head_start_until: Timestamp,
+    /// Until then an instance without slots and donors has not heard who holds the slots.
+    slots_known_by: Timestamp,
     /// When slots or limits were last reduced; loans may exceed the share until they lapse.
     reduced_at: Option<Timestamp>,
     ticked_at: Timestamp,
@@ -95,6 +100,7 @@
             ready_at: now + DONOR_HOLD,
             head_start: Duration::ZERO,
             head_start_until: now + HEAD_START_WINDOW,
+            slots_known_by: now + SLOTS_KNOWN_TIME,
             reduced_at: None,
             ticked_at: now,
             shares: HashMap::new(),
@@ -429,13 +435,19 @@
         };
         let Some(last) = borrower.waiters.back() else { return };
         let part = own_part(&self.own_slots, self.slots);
+        // Right after the start nothing says yet where the account's tokens are; more than its burst cannot be there.
+        let is_unknown = self.own_slots.is_empty()
+            && self.peers.iter().all(|it| it.slots == 0)
+            && now < self.slots_known_by;
+        let unknown = if is_unknown { share.burst() } else { Tokens::ZERO };
         let at_hand = share.level() + borrower.borrowed(now);
         // A part of an answered request may be short of its estimate, so whoever waits is judged anew at each answer.
         let refill_time = last.deadline.since(now).min(REFILL_TIME);
         let refill = share.rate().part(part).over(refill_time)
             + donors.iter().map(|it| borrower.estimated_refill(now, it, refill_time)).sum();
         let elsewhere: Tokens = donors.iter().map(|it| borrower.estimate(now, it)).sum();
-        let servable = (at_hand + borrower.possible(now) + elsewhere + refill).whole() as usize;
+        let servable =
+            (at_hand + borrower.possible(now) + elsewhere + refill + unknown).whole() as usize;
         let all_held =
             donors.iter().fold(share.rate().part(part).over(Duration::from_secs(1)), |sum, it| {
                 sum + it.rate.over(Duration::from_secs(1))
--- a/crates/policy/tests/loans.rs
+++ b/crates/policy/tests/loans.rs
@@ -126,6 +126,28 @@
     let mut limiter = limiter(500.0, 500.0, 0, &[]).with_head_start(Duration::from_secs(1));
     let (answer, _) = limiter.acquire(START + Duration::from_millis(30), account(), WaiterId(1));
     assert_eq!(answer, Acquire::Waiting);
+    let slots = vec![Timestamp::from_millis(u64::MAX / 1_000); 60];
+    let known = START + Duration::from_millis(60);
+    limiter.set_holdings(known, &Holdings { own: slots, peers: BTreeMap::new() });
+    assert_eq!(limiter.tick(known), [RateAction::Grant { waiter: WaiterId(1) }]);
+}
+
+/// Guards against callers who are held back although nothing will tell of slots in time, or although they are more than
+/// the account's burst.
+#[test]
+fn callers_wait_for_slots_in_the_first_seconds_only_and_within_the_burst() {
+    let mut limiter = limiter(500.0, 3.0, 0, &[]).with_head_start(Duration::from_secs(1));
+    let soon = START + Duration::from_millis(30);
+    let answers: Vec<_> =
+        (0..5).map(|it| limiter.acquire(soon, account(), WaiterId(it)).0).collect();
+    let waiting = answers.iter().filter(|it| **it == Acquire::Waiting).count();
+    assert_eq!(waiting, 3, "{answers:?}");
+    let ends = limiter.tick(soon + Duration::from_millis(200));
+    assert_eq!(ends.len(), 3, "{ends:?}");
+    assert!(ends.iter().all(|it| matches!(it, RateAction::Refuse { .. })), "{ends:?}");
+    let later = START + Duration::from_secs(3);
+    let (answer, _) = limiter.acquire(later, account(), WaiterId(9));
+    assert!(matches!(answer, Acquire::Refused { .. }), "{answer:?}");
 }
 
 /// Guards against callers who wait until their deadline for tokens that have long been refilled.
