Let callers wait while the holders of some rate slots are unknown

Measured: a_request_waits_while_most_slots_are_unknown failed before and passes now; the other tests of the policy crate are as before.

Conclusion: refusals right after a start depend on what instances know, and no longer on how quickly they hear of each other.

--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -59,7 +59,7 @@
     /// The time whose refill the shares of the first slots hold, and until when slots count as such.
     head_start: Duration,
     head_start_until: Timestamp,
-    /// Until then an instance without slots and donors has not heard who holds the slots.
+    /// Until then the instance may not have heard who holds the slots.
     slots_known_by: Timestamp,
     /// When slots or limits were last reduced; loans may exceed the share until they lapse.
     reduced_at: Option<Timestamp>,
@@ -435,11 +435,10 @@
         };
         let Some(last) = borrower.waiters.back() else { return };
         let part = own_part(&self.own_slots, self.slots);
-        // Right after the start nothing says yet where the account's tokens are; more than its burst cannot be there.
-        let is_unknown = self.own_slots.is_empty()
-            && self.peers.iter().all(|it| it.slots == 0)
-            && now < self.slots_known_by;
-        let unknown = if is_unknown { share.burst() } else { Tokens::ZERO };
+        let unknown = match now < self.slots_known_by {
+            true => share.burst().part(unknown_part(&self.own_slots, &self.peers, self.slots)),
+            false => Tokens::ZERO,
+        };
         let at_hand = share.level() + borrower.borrowed(now);
         // A part of an answered request may be short of its estimate, so whoever waits is judged anew at each answer.
         let refill_time = last.deadline.since(now).min(REFILL_TIME);
@@ -631,6 +630,12 @@
     (reserve.min(Tokens::from_billionths(capacity.billionths() / 2)), is_busy)
 }
 
+/// Returns the part of the slots that neither this instance nor a known peer holds.
+fn unknown_part(own_slots: &[Timestamp], peers: &[Peer], of: u32) -> Part {
+    let held_by_peers = peers.iter().map(|it| it.slots).sum();
+    Part { held: of.saturating_sub(own_slots.len() as u32).saturating_sub(held_by_peers), of }
+}
+
 fn own_part(own_slots: &[Timestamp], of: u32) -> Part {
     Part { held: own_slots.len() as u32, of }
 }
--- a/crates/policy/tests/loans.rs
+++ b/crates/policy/tests/loans.rs
@@ -132,6 +132,24 @@
     assert_eq!(limiter.tick(known), [RateAction::Grant { waiter: WaiterId(1) }]);
 }
 
+/// Guards against a refusal while an instance knows some slots, but not yet those of peers that hold the most.
+#[test]
+fn a_request_waits_while_most_slots_are_unknown() {
+    let mut limiter = limiter(500.0, 500.0, 0, &[("peer", 3)]);
+    let soon = START + Duration::from_millis(30);
+    let (answer, sent) = limiter.acquire(soon, account(), WaiterId(1));
+    assert_eq!(answer, Acquire::Waiting);
+    let message = RateMessage::LoanGrant {
+        account: account(),
+        request: requests(&sent)[0],
+        amount: Tokens::ZERO,
+        level: Tokens::ZERO,
+        is_busy: true,
+    };
+    let answers = limiter.on_message(soon, &Name::new("peer"), message);
+    assert!(!answers.iter().any(|it| matches!(it, RateAction::Refuse { .. })), "{answers:?}");
+}
+
 /// Guards against callers who are held back although nothing will tell of slots in time, or although they are more than
 /// the account's burst.
 #[test]
