Log the reads of the store by what they read

Change: the line of totals lists reads by kind and by the first part of the keys.

Ruled out: a label of the metric, whose set would follow the names of keys.

--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -135,6 +135,12 @@
         self.platform_store.counts().into_iter().map(|(kind, count)| (kind.name(), count))
     }
 
+    /// Returns the reads of the platform's service so far, by kind and by the first part of the keys.
+    pub fn platform_reads(&self) -> impl Iterator<Item = (&'static str, Name, u64)> {
+        let counts = self.platform_store.counts_by_area().into_iter();
+        counts.map(|((kind, area), count)| (kind.name(), area, count))
+    }
+
     /// Returns an id that no other request of the fleet has.
     pub fn request_id(&self) -> String {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
--- a/crates/borageshed/src/summary.rs
+++ b/crates/borageshed/src/summary.rs
@@ -19,9 +19,14 @@
             .filter(|(_, count)| *count > 0)
             .map(|(kind, count)| format!("{kind}:{count}"))
             .collect();
+        let reads: Vec<String> = cx
+            .platform_reads()
+            .map(|(kind, area, count)| format!("{kind} {area}:{count}"))
+            .collect();
         info!(
             cx.log, "totals since the start";
             "requests_open" => cx.control.open_requests(), "store_calls" => calls.join(","),
+            "store_reads" => reads.join(","),
             "store_silent_s" => cx.platform_silent_s(), "lines_dropped" => cx.dropped_lines.count()
         );
     }
