Read a job's record and results in one call, and wait for what is missing

Such a call that asked for the start waited 0.9 s though results existed, and one that asked for later ones did not wait at all, so that its client came back sooner.

Change: record and results share a prefix, so that the first call for a job takes one read. It answers what exists at once, waits for an announcement otherwise, and reads again only after one. An answer without an announcement tells what stood when the call was read.

Ruled out: answering later calls from announcements alone; they can be lost, and callers are owed every result that exists.

--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -13,7 +13,7 @@
 use slog::info;
 
 use super::{Request, Result, identity::Identity, read_body};
-use crate::{clock, job_work::index, shared::Shared};
+use crate::{clock, job_work::index, known_jobs::Waited, shared::Shared};
 
 /// The bytes of results in one answer, which callers take up to a megabyte of.
 const MAX_RESULT_BYTES: usize = 900_000;
@@ -123,13 +123,17 @@
     after: usize,
     wait: Duration,
 ) -> Result<Response> {
-    let known = known(cx, identity, id).await?;
-    cx.known_jobs.wait_beyond(id, after, wait.min(MAX_WAIT)).await;
+    let wait = wait.min(MAX_WAIT);
+    let (known, entries) = match known_here(cx, identity, id)? {
+        Some(known) => {
+            cx.known_jobs.wait_beyond(id, after, wait).await;
+            (known, later_results(cx, id, after).await?)
+        }
+        None => first_read(cx, identity, id, after, wait).await?,
+    };
     let mut results: Vec<ItemResult> = Vec::new();
     let mut bytes = 0;
-    let last = after.checked_sub(1).map(|it| id.result(it));
-    let page = cx.store.page(&id.results(), last.as_deref(), usize::MAX).await;
-    for entry in page.map_err(store_problem)?.entries {
+    for entry in entries {
         bytes += entry.value.len();
         if !results.is_empty() && bytes > MAX_RESULT_BYTES {
             break;
@@ -143,6 +147,39 @@
     Ok(res)
 }
 
+/// Reads the record of a job together with its results in one call of the store.
+///
+/// Results that exist are answered at once. If there are none, the answer tells what stood when they were read, unless
+/// the owner announces more in the meantime.
+async fn first_read(
+    cx: &Shared,
+    identity: &Identity,
+    id: &JobId,
+    after: usize,
+    wait: Duration,
+) -> Result<(Arc<JobRecord>, Vec<Entry>)> {
+    let page = cx.store.page(&id.progress(), None, usize::MAX).await.map_err(store_problem)?;
+    cx.platform_answered();
+    let mut entries = page.entries.into_iter();
+    let entry = entries.next().filter(|it| *it.key == id.record()).ok_or_else(no_job)?;
+    let record = Arc::new(owned_by(identity, stored(&entry).map_err(store_problem)?)?.record);
+    cx.known_jobs.keep_record(id, &record);
+    cx.known_jobs.note_listed(id, entries.len());
+    let later: Vec<_> = entries.skip(after).collect();
+    let is_incomplete = later.is_empty()
+        && (page.more || cx.known_jobs.wait_beyond(id, after, wait).await == Waited::Announced);
+    match is_incomplete {
+        true => Ok((record, later_results(cx, id, after).await?)),
+        false => Ok((record, later)),
+    }
+}
+
+async fn later_results(cx: &Shared, id: &JobId, after: usize) -> Result<Vec<Entry>> {
+    let last = after.checked_sub(1).map(|it| id.result(it));
+    let page = cx.store.page(&id.results(), last.as_deref(), usize::MAX).await;
+    Ok(page.map_err(store_problem)?.entries)
+}
+
 async fn body(cx: &Shared, identity: &Identity, id: &JobId, item: &str) -> Result<Response> {
     let known = known(cx, identity, id).await?;
     let items = match cx.known_jobs.items(id) {
@@ -171,14 +208,19 @@
 
 /// Returns what never changes about a job: to whom it belongs and of what it consists.
 async fn known(cx: &Shared, identity: &Identity, id: &JobId) -> Result<Arc<JobRecord>> {
+    if let Some(it) = known_here(cx, identity, id)? {
+        return Ok(it);
+    }
+    let record = Arc::new(owned(cx, identity, id).await?.record);
+    cx.known_jobs.keep_record(id, &record);
+    Ok(record)
+}
+
+/// Returns the same if it was read before.
+fn known_here(cx: &Shared, identity: &Identity, id: &JobId) -> Result<Option<Arc<JobRecord>>> {
     match cx.known_jobs.record(id) {
-        Some(it) if it.account() == identity.account.name => Ok(it),
-        Some(_) => Err(no_job()),
-        None => {
-            let record = Arc::new(owned(cx, identity, id).await?.record);
-            cx.known_jobs.keep_record(id, &record);
-            Ok(record)
-        }
+        Some(it) if it.account() != identity.account.name => Err(no_job()),
+        known => Ok(known),
     }
 }
 
@@ -214,7 +256,10 @@
 }
 
 async fn owned(cx: &Shared, identity: &Identity, id: &JobId) -> Result<Stored> {
-    let job = read(cx, id).await.map_err(store_problem)?.ok_or_else(no_job)?;
+    owned_by(identity, read(cx, id).await.map_err(store_problem)?.ok_or_else(no_job)?)
+}
+
+fn owned_by(identity: &Identity, job: Stored) -> Result<Stored> {
     if job.record.account() == identity.account.name { Ok(job) } else { Err(no_job()) }
 }
 
--- a/crates/borageshed/src/known_jobs.rs
+++ b/crates/borageshed/src/known_jobs.rs
@@ -20,6 +20,17 @@
     state: Mutex<State>,
 }
 
+/// How a wait for more results ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Waited {
+    /// There was nothing to wait for: the job is not known here, has all its results, or has fewer than were asked for.
+    Not,
+    /// There are more results.
+    Announced,
+    /// The time is up.
+    TimedOut,
+}
+
 #[derive(Debug, Default)]
 struct State {
     jobs: HashMap<JobId, Known>,
@@ -89,19 +100,22 @@
 
     /// Waits until a job that had exactly `after` results when they were last seen has more, for a time at most.
     ///
-    /// The wait only spares reads of the store: whoever waited reads the results there.
-    pub async fn wait_beyond(&self, id: &JobId, after: usize, limit: Duration) {
+    /// The wait only spares reads of the store, which alone tells the results.
+    pub async fn wait_beyond(&self, id: &JobId, after: usize, limit: Duration) -> Waited {
         let changed = {
             let state = self.lock();
             match state.jobs.get(id) {
                 Some(known) if known.listed == after && after < known.record.total => {
                     known.changed.listen()
                 }
-                _ => return,
+                Some(known) if known.listed > after => return Waited::Announced,
+                _ => return Waited::Not,
             }
         };
-        // Whether it was woken or the time is up, the store knows.
-        let _ = async_std::future::timeout(limit, changed).await;
+        match async_std::future::timeout(limit, changed).await {
+            Ok(()) => Waited::Announced,
+            Err(_) => Waited::TimedOut,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -88,7 +88,7 @@
     }
 
     fn stored_results(&self, job: &str) -> usize {
-        let prefix = format!("work/job/{job}/results/");
+        let prefix = format!("work/job/{job}/progress/results/");
         self.platform.with_kv(|kv| kv.range(&prefix, None).items.len())
     }
 }
@@ -339,6 +339,40 @@
     Ok(())
 }
 
+// Guards against two reads of the store for each call at a daemon that has not seen the job, as most calls are where many
+// daemons serve, and against a wait for results that exist.
+#[async_std::test]
+async fn the_first_call_for_results_reads_the_store_once_and_waits_only_for_what_is_missing()
+-> io::Result<()> {
+    let target = Target::start(stream(5, 5)).await?;
+    let mut site = Site::start(&[("t-1", &target)]).await?;
+    let submit = |id| {
+        let job = Call::post(JOBS, operator::job(&["i-1", "i-2"])).key(KEY);
+        job.header("x-request-id", id)
+    };
+    for id in ["job-1", "job-2"] {
+        assert_eq!(site.send(submit(id)).await.status, 202);
+        wait_until("every item has a result", async || site.stored_results(id) == 2).await?;
+    }
+    site.worker.crash();
+    let read = async |job, after| {
+        let call = Call::get(operator::results_path(job, after)).key(KEY);
+        let start = Instant::now();
+        let reply = site.send(call.header("x-wait-ms", "1000")).await.json();
+        let listed = reply["results"].as_array().expect("results").len();
+        ((listed, reply["total"].as_u64()), start.elapsed())
+    };
+    let before = site.platform.calls();
+    let (whole, took) = read("job-1", 0).await;
+    assert_eq!(whole, (2, Some(2)));
+    assert!(took < Duration::from_millis(400), "{took:?}");
+    assert_eq!(read("job-2", 1).await.0, (1, Some(2)));
+    assert_eq!(read("job-2", 2).await.0, (0, Some(2)));
+    let after = site.platform.calls();
+    assert_eq!(after.get("/v1/kv-key"), before.get("/v1/kv-key"), "{before:?} {after:?}");
+    Ok(())
+}
+
 // Guards against items that run after their job was ended, and against an end that fails when it is repeated.
 #[async_std::test]
 async fn an_ended_job_stops_and_its_end_can_be_repeated() -> io::Result<()> {
--- a/crates/jobs/src/key.rs
+++ b/crates/jobs/src/key.rs
@@ -34,9 +34,14 @@
         &self.0
     }
 
+    /// Returns the prefix of the job's record and of its results, which come in this order.
+    pub fn progress(&self) -> String {
+        format!("{JOB_PREFIX}{}/progress/", self.0)
+    }
+
     /// Returns the key of the job's record.
     pub fn record(&self) -> String {
-        format!("{JOB_PREFIX}{}/record", self.0)
+        format!("{}record", self.progress())
     }
 
     /// Returns the key of a part of the job's items.
@@ -56,7 +61,7 @@
 
     /// Returns the prefix of the job's results.
     pub fn results(&self) -> String {
-        format!("{JOB_PREFIX}{}/results/", self.0)
+        format!("{}results/", self.progress())
     }
 
     /// Returns the key of the job in the index of unfinished jobs.
--- a/crates/jobs/tests/run.rs
+++ b/crates/jobs/tests/run.rs
@@ -34,14 +34,14 @@
     let positions: Vec<(&str, &str)> = stored.iter().map(|(key, it)| (&**key, &*it.id)).collect();
     assert_eq!(
         positions,
-        [("work/job/job-1/results/0000", "c"), ("work/job/job-1/results/0001", "a")]
+        [("work/job/job-1/progress/results/0000", "c"), ("work/job/job-1/results/0001", "a")]
     );
     assert_eq!(run.commit(RECEIVED_MS), None, "one transaction at a time");
     run.on_committed(Revision(9));
     run.on_end(1, done("second"), RECEIVED_MS);
     let last = run.commit(RECEIVED_MS).expect("the last result");
     assert_eq!(last.expected[0].revision, Revision(9));
-    assert_eq!(results(&last)[0].0, "work/job/job-1/results/0002");
+    assert_eq!(results(&last)[0].0, "work/job/job-1/progress/results/0002");
     assert_eq!(last.removals, ["work/index/open/job-1".into()], "nothing is left to do");
     run.on_committed(Revision(11));
     assert!(run.is_ended());
--- a/crates/jobs/tests/submission.rs
+++ b/crates/jobs/tests/submission.rs
@@ -13,14 +13,14 @@
     let transaction =
         submission(vec![item("i-1", 3), item("i-2", 0)]).transaction().expect("valid");
     let condition = &transaction.expected[0];
-    assert_eq!((&*condition.key, condition.revision.0), ("work/job/job-1/record", 0));
+    assert_eq!((&*condition.key, condition.revision.0), ("work/job/job-1/progress/record", 0));
     let text: Vec<String> = transaction
         .writes
         .iter()
         .map(|it| format!("{} {}", it.key, String::from_utf8_lossy(&it.value)))
         .collect();
     expect![[r#"
-        work/job/job-1/record {"origin":"operator","account":"acme","service":"engine","host":"shop.example","total":2,"parts":1,"due_ms":1018000,"give_up_ms":1060000,"max_attempts":2,"listed":[],"cancelled":false}
+        work/job/job-1/progress/record {"origin":"operator","account":"acme","service":"engine","host":"shop.example","total":2,"parts":1,"due_ms":1018000,"give_up_ms":1060000,"max_attempts":2,"listed":[],"cancelled":false}
         work/index/open/job-1 {"origin":"operator","account":"acme","route":"route","due_ms":1018000,"tokens":200}
         work/job/job-1/items/0000 [{"id":"i-1","path":"/jobs/x","headers":{},"body":"BwcH","tokens":100},{"id":"i-2","path":"/jobs/x","headers":{},"body":"","tokens":100}]
     "#]]
