Store results of a job together unless they are its last ones

Change: 400 ms instead of 120 ms lie between two transactions of a job, unless it has all its results. The pause after a failed transaction no longer depends on that.

Ruled out: transactions over several jobs, whose unknown outcomes would concern all of them.

Measured: has_all_results is checked in results_take_positions_in_the_order_of_ their_end; tests of jobs and of operator pass.

--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -39,8 +39,9 @@
 const MAX_ITEMS: usize = 96;
 /// The pause before a claim is tried again that failed.
 const CLAIM_RETRY: Duration = Duration::from_millis(500);
-/// The least time between two transactions of a job, so that results that arrive together share one.
-const COMMIT_GAP: Duration = Duration::from_millis(120);
+/// The least time between two transactions of a job, unless it has all its results: each one costs a call of the store and
+/// brings callers back for the next, and results are due seconds later.
+const COMMIT_GAP: Duration = Duration::from_millis(400);
 /// The pause before results are stored again after a failure.
 const COMMIT_RETRY: Duration = Duration::from_millis(300);
 /// How long an item leaves more slots free than it must, if all items have time.
@@ -87,6 +88,17 @@
     /// The items that were begun and wait to be continued.
     begun: HashMap<usize, Begun>,
     commit_after: Timestamp,
+    /// Until then a transaction that failed is not repeated.
+    retry_after: Timestamp,
+}
+
+impl OwnJob {
+    fn may_commit(&self, now: Timestamp) -> bool {
+        match self.run.has_all_results() {
+            true => self.retry_after <= now,
+            false => self.commit_after.max(self.retry_after) <= now,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -285,13 +297,14 @@
             self.cx.log, "job claimed";
             "job" => id.as_str(), "items" => run.record().total, "listed" => run.record().listed.len()
         );
-        let commit_after = self.cx.clock.now();
+        let now = self.cx.clock.now();
         let job = OwnJob {
             claim: self.claims,
             run: *run,
             items: HashMap::new(),
             begun: HashMap::new(),
-            commit_after,
+            commit_after: now,
+            retry_after: now,
         };
         self.own.insert(id, job);
     }
@@ -379,7 +392,7 @@
     }
 
     fn commit(&mut self, now: Timestamp, unix_ms: u64) {
-        for job in self.own.values_mut().filter(|it| it.commit_after <= now) {
+        for job in self.own.values_mut().filter(|it| it.may_commit(now)) {
             let Some(transaction) = job.run.commit(unix_ms) else { continue };
             job.commit_after = now + COMMIT_GAP;
             let (id, claim) = (job.run.id().clone(), job.claim);
@@ -412,7 +425,7 @@
             }
             Err(e) => {
                 job.run.on_not_committed();
-                job.commit_after = now + COMMIT_RETRY;
+                job.retry_after = now + COMMIT_RETRY;
                 debug!(self.cx.log, "results not stored"; "job" => id.as_str(), "error" => %e);
             }
         }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -210,6 +210,11 @@
         self.saving = 0;
     }
 
+    /// Returns whether every item has a result, stored or not.
+    pub fn has_all_results(&self) -> bool {
+        self.record.listed.len() + self.unsaved.len() == self.record.total
+    }
+
     /// Returns whether every item has a stored result.
     pub fn is_ended(&self) -> bool {
         self.record.is_ended()
--- a/crates/jobs/tests/run.rs
+++ b/crates/jobs/tests/run.rs
@@ -34,11 +34,16 @@
     let positions: Vec<(&str, &str)> = stored.iter().map(|(key, it)| (&**key, &*it.id)).collect();
     assert_eq!(
         positions,
-        [("work/job/job-1/progress/results/0000", "c"), ("work/job/job-1/results/0001", "a")]
+        [
+            ("work/job/job-1/progress/results/0000", "c"),
+            ("work/job/job-1/progress/results/0001", "a")
+        ]
     );
     assert_eq!(run.commit(RECEIVED_MS), None, "one transaction at a time");
     run.on_committed(Revision(9));
+    assert!(!run.has_all_results());
     run.on_end(1, done("second"), RECEIVED_MS);
+    assert!(run.has_all_results(), "the last result need not wait for others");
     let last = run.commit(RECEIVED_MS).expect("the last result");
     assert_eq!(last.expected[0].revision, Revision(9));
     assert_eq!(results(&last)[0].0, "work/job/job-1/progress/results/0002");
