Let each of many instances go to a few targets first

Change: where at least eight instances of a failure domain admit callers, each prefers four of its targets or so for online requests and spreads its requests over them by what it has there itself, then by reports. The instances' parts cover all targets evenly and follow the registered instances. If none of them has room, the choice is the former one.

Conclusion: where many instances share targets, what an instance knows by itself is worth more than what it hears.

--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -94,6 +94,7 @@
             ControlEvent::PeerLink { peer, up } => self.peer_link(now, peer, up),
             ControlEvent::PeerLeaving { peer } => {
                 self.peers_leaving.insert(peer);
+                self.tell_admitting(now);
             }
             ControlEvent::Document { document, withdrawn } => {
                 self.set_document(now, document, withdrawn)
@@ -109,7 +110,10 @@
                 }
                 self.update_holdings(now);
             }
-            ControlEvent::Members { admitting } => self.admitting = admitting,
+            ControlEvent::Members { admitting } => {
+                self.admitting = admitting;
+                self.tell_admitting(now);
+            }
             ControlEvent::Registry { services } => {
                 let gone: Vec<QualifiedName> = self
                     .registry
@@ -325,16 +329,30 @@
         self.perform(actions);
     }
 
+    /// Returns the instances that admit callers, with their failure domains.
+    fn admitting_instances(&self) -> BTreeMap<Name, Name> {
+        let mut admitting = self.admitting.clone();
+        if self.cfg.admits_callers {
+            admitting.insert(self.cfg.instance.clone(), self.cfg.failure_domain.clone());
+        }
+        // A peer that shuts down releases its slots and sends no more requests at once, while the list lags.
+        admitting.retain(|it, _| !self.peers_leaving.contains(it));
+        admitting
+    }
+
+    fn tell_admitting(&mut self, now: Timestamp) {
+        let admitting = self.admitting_instances().into_iter();
+        let near = admitting.filter(|(_, domain)| *domain == self.cfg.failure_domain);
+        let instances = near.map(|(instance, _)| instance).collect();
+        self.dispatch_event(now, dispatch::Event::AdmittingInstances(instances));
+    }
+
     fn tick_slots(&mut self, now: Timestamp) {
         if !self.cfg.admits_callers {
             return;
         }
+        let admitting = self.admitting_instances();
         let Some(rate) = &mut self.rate else { return };
-        let mut admitting = self.admitting.clone();
-        let own = (self.cfg.instance.clone(), self.cfg.failure_domain.clone());
-        admitting.extend([own]);
-        // A shutdown releases its slots at once, while the list lags.
-        admitting.retain(|it, _| !self.peers_leaving.contains(it));
         for action in rate.slots.tick(now, &slots::holders(&admitting)) {
             self.effect(Effect::Slot(action));
         }
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
     event::{Event, PeerLoad, TargetInfo},
     fair::Entry,
     health::{HealthEvent, HealthState},
+    part::Part,
     poison::{PoisonTable, RunEnd},
     request::{Action, Class, Execution, Fingerprint, Reason, Refusal, Request},
     service::{Held, Phase, Service},
@@ -36,6 +37,8 @@
     pub(super) runs_announced: Timestamp,
     pub(super) peers: IndexMap<Name, Peer>,
     pub(super) last_prune: Timestamp,
+    /// The targets that this instance goes to first; `None` for no preference.
+    pub(super) part: Option<Part>,
     /// Whether peers should hear of the requests in flight before the next heartbeat.
     pub(super) share_wanted: bool,
     last_share: Timestamp,
@@ -90,6 +93,7 @@
             repeats: Vec::new(),
             runs_announced: Timestamp::ZERO,
             peers: IndexMap::new(),
+            part: None,
             last_prune: Timestamp::ZERO,
             share_wanted: false,
             last_share: Timestamp::ZERO,
@@ -179,6 +183,9 @@
             }
             Event::PoisonSuspicion(suspicion) => self.on_suspicion(now, &suspicion),
             Event::SuspectClaim { peer, claim } => self.on_claim(now, peer, &claim),
+            Event::AdmittingInstances(instances) => {
+                self.part = Part::of(&self.settings.instance, &instances);
+            }
             Event::PeerLink { peer, up } => {
                 if up {
                     self.linked.insert(peer);
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -1,5 +1,7 @@
 //! What the dispatcher is told.
 
+use std::collections::BTreeSet;
+
 use fleet::{QualifiedName, Service};
 use stdx::{Name, record_type, value_type};
 
@@ -109,6 +111,8 @@
             /// The run.
             claim: Claim,
         },
+        /// The instances of this failure domain that admit callers are these, with this one if it does.
+        AdmittingInstances(BTreeSet<Name>),
         /// The link to a peer opened or closed.
         PeerLink {
             /// The peer instance.
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 //! - `health`: target health, interpreted from a state chart.
 //! - `invariants`: checks over the whole state.
 //! - `outcome`: what the end of an attempt does to a request.
+//! - `part`: which targets an instance goes to first, where many instances share them.
 //! - `placement`: which waiting request goes where, and which batch requests yield.
 //! - `poison`: suspicion and verdicts by fingerprint.
 //! - `service`: the state of one service.
@@ -28,6 +29,7 @@
 mod health;
 mod invariants;
 mod outcome;
+mod part;
 mod placement;
 mod poison;
 mod service;
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -143,6 +143,11 @@
                     && self.poison.died_on(&held.request.fingerprint, &it.info.name))
         };
         let local: Vec<_> = free.iter().copied().filter(|it| it.local && !avoided(it)).collect();
+        let near = self.near(held, &local);
+        if !near.is_empty() {
+            let least = near.iter().min_by_key(|it| (it.own.total(), it.load(), score(salt, it)));
+            return least.map(|it| it.info.name.clone());
+        }
         if !local.is_empty() {
             return Some(pick(settings, service, held, &local, salt));
         }
@@ -158,6 +163,16 @@
         free.iter().find(|it| it.local).map(|it| it.info.name.clone())
     }
 
+    /// Returns those of the free targets that an online request goes to first.
+    fn near<'a>(&self, held: &Held, free: &[&'a Target]) -> Vec<&'a Target> {
+        let Some(part) = self.part.filter(|_| held.class() == Class::Online) else {
+            return Vec::new();
+        };
+        let targets = part.targets(&self.services[held.service]);
+        let is_near = |it: &&&Target| targets.iter().any(|near| near.info.name == it.info.name);
+        free.iter().filter(is_near).copied().collect()
+    }
+
     /// Returns whether suspicion and idempotency let the request run on the target.
     pub(super) fn may_run(&self, now: Timestamp, held: &Held, target: &Target) -> bool {
         let fingerprint = &held.request.fingerprint;
@@ -288,7 +303,6 @@
 
 /// Picks one of the targets: the preferred target of the prefix within the bound, and otherwise the least loaded.
 fn pick(settings: &Settings, service: &Service, held: &Held, free: &[&Target], salt: u64) -> Name {
-    let score = |seed: u64, it: &Target| XxHash64::oneshot(seed, it.info.name.as_bytes());
     let preferred = held.request.prefix.and_then(|prefix| {
         let serving = service.targets.values().filter(|it| it.takes_work() && it.local);
         let (count, load) = serving.fold((0, 1), |(n, sum), it| (n + 1, sum + it.load()));
@@ -311,3 +325,7 @@
     };
     preferred.or_else(least).expect("a target is free").info.name.clone()
 }
+
+fn score(seed: u64, target: &Target) -> u64 {
+    XxHash64::oneshot(seed, target.info.name.as_bytes())
+}
