Spread batch requests evenly over targets

Change: a batch request goes where the fewest batch requests are; prefix and load decide among those. Online requests choose in the same way within their instance's part, so that prefixes count there as well.

Ruled out: leaving more slots free on all targets, which was tried before and takes slots from batch where targets are lost.

--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -143,13 +143,8 @@
                     && self.poison.died_on(&held.request.fingerprint, &it.info.name))
         };
         let local: Vec<_> = free.iter().copied().filter(|it| it.local && !avoided(it)).collect();
-        let near = self.near(held, &local);
-        if !near.is_empty() {
-            let least = near.iter().min_by_key(|it| (it.own.total(), it.load(), score(salt, it)));
-            return least.map(|it| it.info.name.clone());
-        }
         if !local.is_empty() {
-            return Some(pick(settings, service, held, &local, salt));
+            return Some(pick(settings, service, held, &self.preferred(held, &local), salt));
         }
         // Batch has no wait to compare with: slots that stand idle elsewhere are what it is for.
         let spills = held.class() == Class::Batch
@@ -157,20 +152,29 @@
         if spills {
             let remote: Vec<_> = free.iter().copied().filter(|it| !avoided(it)).collect();
             if !remote.is_empty() {
-                return Some(pick(settings, service, held, &remote, salt));
+                return Some(pick(settings, service, held, &self.preferred(held, &remote), salt));
             }
         }
         free.iter().find(|it| it.local).map(|it| it.info.name.clone())
     }
 
-    /// Returns those of the free targets that an online request goes to first.
-    fn near<'a>(&self, held: &Held, free: &[&'a Target]) -> Vec<&'a Target> {
-        let Some(part) = self.part.filter(|_| held.class() == Class::Online) else {
-            return Vec::new();
-        };
+    /// Returns those of the free targets that come first by what the instance knows best.
+    ///
+    /// Online requests go to the targets of the instance's part, where it has the fewest itself. Batch requests go where the
+    /// fewest are: they hold their slots for seconds, which is longer than a heartbeat, and targets full of them have no
+    /// slot for the next burst of online requests.
+    fn preferred<'a>(&self, held: &Held, free: &[&'a Target]) -> Vec<&'a Target> {
+        if held.class() == Class::Batch {
+            return with_fewest(free, |it| it.own.batch + it.peers.batch);
+        }
+        let Some(part) = self.part else { return free.to_vec() };
         let targets = part.targets(&self.services[held.service]);
         let is_near = |it: &&&Target| targets.iter().any(|near| near.info.name == it.info.name);
-        free.iter().filter(is_near).copied().collect()
+        let near: Vec<_> = free.iter().filter(is_near).copied().collect();
+        match near.is_empty() {
+            true => free.to_vec(),
+            false => with_fewest(&near, |it| it.own.total()),
+        }
     }
 
     /// Returns whether suspicion and idempotency let the request run on the target.
@@ -326,6 +330,11 @@
     preferred.or_else(least).expect("a target is free").info.name.clone()
 }
 
+fn with_fewest<'a>(targets: &[&'a Target], count: impl Fn(&Target) -> u32) -> Vec<&'a Target> {
+    let fewest = targets.iter().map(|it| count(it)).min();
+    targets.iter().filter(|it| Some(count(it)) == fewest).copied().collect()
+}
+
 fn score(seed: u64, target: &Target) -> u64 {
     XxHash64::oneshot(seed, target.info.name.as_bytes())
 }
--- a/crates/policy/tests/dispatch_queue.rs
+++ b/crates/policy/tests/dispatch_queue.rs
@@ -2,12 +2,13 @@
 
 mod dispatch_support;
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use dispatch_support::{
     Bench, SECOND, account, batch, dispatches, ids, of, online, refusals, service, stopped, target,
 };
 use policy::dispatch::{Action, Event, Execution, Reason, Request, Settings};
+use stdx::Name;
 
 // Guards against an account that gets more service because it sends more requests, and against weights without effect.
 #[test]
@@ -257,3 +258,26 @@
     placed += ids(&bench.pass(2 * SECOND)).len();
     assert_eq!(placed, 6, "one slot stays free once batch is no longer patient");
 }
+
+// The load: batch for half of the slots of many targets, under online requests that come and go.
+// Guards against targets that are full of batch, which holds its slots for seconds, beside targets without any: each burst of
+// online requests finds the full ones.
+#[test]
+fn batch_is_spread_evenly_over_targets() {
+    let names: Vec<String> = (0..12).map(|it| format!("t{it:02}")).collect();
+    let targets: Vec<_> = names.iter().map(|it| target(it, "z1", 8)).collect();
+    let mut bench = Bench::new(&targets);
+    let mut by_target: BTreeMap<Name, u32> = BTreeMap::new();
+    for id in 0..48 {
+        // An online request is under way at one target after the other and hides how much batch is there.
+        bench.submit(online(1_000 + id));
+        let mut started = dispatches(&bench.submit(batch(id)));
+        started.extend(dispatches(&bench.pass(SECOND)));
+        for (_, target) in started.into_iter().filter(|it| it.0 < 1_000) {
+            *by_target.entry(target).or_default() += 1;
+        }
+        bench.complete(1_000 + id);
+    }
+    assert_eq!(by_target.len(), 12);
+    assert!(by_target.values().all(|it| *it == 4), "{by_target:?}");
+}
