Let holders of rate slots answer bursts of loan requests

Donors keep answers back beyond their bound on loan traffic: 60 KB/s are 640 answers of 94 bytes, four donors serve 65 instances, and a small account's request asks all four. The allowance of a new run was 8 KB, whatever the setting.

Ruled out: the links, which were up 30 ms after the restart, and the donors' shares, which were filled 65 ms after it.

Conclusion: the bound on loan traffic holds on the mean of 10 s.

--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -129,7 +129,7 @@
     /// Bounds the bytes of loan messages per second.
     #[must_use]
     pub fn with_loan_bytes(mut self, bytes_per_s: f64) -> Self {
-        self.traffic.set_rate(bytes_per_s);
+        self.traffic = Traffic::with_rate(self.ticked_at, bytes_per_s);
         self
     }
 
--- a/crates/policy/src/rate/traffic.rs
+++ b/crates/policy/src/rate/traffic.rs
@@ -1,5 +1,7 @@
 //! The bound on control traffic.
 
+use std::time::Duration;
+
 use stdx::Timestamp;
 
 /// The part of the daemon's 13 KB/s of control traffic that loans may take, unless the caller configures otherwise;
@@ -8,7 +10,11 @@
 /// Answers are sent somewhat past the bound: an unanswered request costs the asking peer its waiting time.
 const ANSWER_RESERVE_BYTES: f64 = 4_000.0;
 
-/// Bytes that may be sent, refilled over time and saved up for at most one second.
+/// For how long unused bytes are saved up. After a restart of all instances each caller's first request needs loans, which is
+/// many times the usual traffic for a second or two.
+const SAVED_TIME: Duration = Duration::from_secs(10);
+
+/// Bytes that may be sent, refilled over time.
 #[derive(Debug)]
 pub struct Traffic {
     bytes_per_s: f64,
@@ -19,12 +25,12 @@
 impl Traffic {
     /// Creates a full allowance.
     pub fn new(now: Timestamp) -> Self {
-        Self { bytes_per_s: LOAN_BYTES_PER_S, bytes: LOAN_BYTES_PER_S, at: now }
+        Self::with_rate(now, LOAN_BYTES_PER_S)
     }
 
-    /// Replaces the bytes that may be sent per second.
-    pub fn set_rate(&mut self, bytes_per_s: f64) {
-        self.bytes_per_s = bytes_per_s;
+    /// Creates a full allowance of so many bytes per second.
+    pub fn with_rate(now: Timestamp, bytes_per_s: f64) -> Self {
+        Self { bytes_per_s, bytes: bytes_per_s * SAVED_TIME.as_secs_f64(), at: now }
     }
 
     /// Takes the bytes of a request; `false` if it must not be sent.
@@ -39,7 +45,7 @@
 
     fn take(&mut self, now: Timestamp, bytes: usize, least: f64) -> bool {
         let refilled = self.bytes + now.since(self.at).as_secs_f64() * self.bytes_per_s;
-        self.bytes = refilled.min(self.bytes_per_s);
+        self.bytes = refilled.min(self.bytes_per_s * SAVED_TIME.as_secs_f64());
         self.at = self.at.max(now);
         let left = self.bytes - bytes as f64;
         let may_send = left >= least;
--- a/crates/policy/tests/loans.rs
+++ b/crates/policy/tests/loans.rs
@@ -168,6 +168,24 @@
     assert!(matches!(answer, Acquire::Refused { .. }), "{answer:?}");
 }
 
+/// Guards against a donor that leaves most of the loan requests unanswered that reach it after a restart of all instances,
+/// and against one that answers without a bound.
+#[test]
+fn a_donor_answers_a_burst_of_loan_requests_and_is_bounded_over_time() {
+    let mut donor = limiter(1_000.0, 60_000.0, 60, &[]);
+    let mut ask = |now: Timestamp, request: u64| {
+        let (request, want) = (RequestId(request), Tokens::ONE);
+        let message =
+            RateMessage::LoanRequest { account: account(), request, want, closed: vec![] };
+        donor.on_message(now, &Name::new(format!("p{}", request.0 % 65)), message).len() as u64
+    };
+    let answered: u64 = (0..800).map(|it| ask(FULL, it)).sum();
+    assert_eq!(answered, 800);
+    let later = FULL + Duration::from_secs(1);
+    let answered: u64 = (1_000..5_000).map(|it| ask(later, it)).sum();
+    assert!(answered < 400, "{answered}");
+}
+
 /// Guards against callers who wait until their deadline for tokens that have long been refilled.
 #[test]
 fn waiting_callers_are_looked_at_again_and_again() {
