Add a fault soak of real daemons with promises checked from outside

Change: two entry daemons and two that run items, as processes, with a relay before each one's store and each target. Faults begin 2.5 times a second, last up to 3 s and overlap: connections cut, refused, silenced or delayed, daemons paused, killed, stopped and started again, targets that are full, break off, fail or are slow, configurations, lapsed leases and lost answers of the store. Callers check that whole answers are whole, that requests run as often as they may, that an answer which says that a request has not run is true, that calls end in time, that accepted jobs finish with each item once at a position that never changes, that no daemon ends by itself, and that all is served after the faults.

Ruled out: one-way cuts and clocks; the relay has no direction yet, and the daemons read no clock but for due times.

--- /dev/null
+++ b/crates/borageshed/tests/soak/callers.rs
@@ -0,0 +1,320 @@
+//! Callers that note what they are told, and what follows from it.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_std::{io::ReadExt as _, net::TcpStream, task};
+use http_types::{Method, Request, Url};
+use rand::Rng as _;
+use stdx::rng;
+use test_support::{
+    http::{Call, Reply},
+    operator::{self, DRAFTS, HOST, JOBS, LOOKUPS, STREAMS},
+    target::Asked,
+};
+
+use super::site::{EVENTS, KEY};
+
+/// The route's timeout of 5 s, a pause of the daemon of up to 3 s, and its stop.
+const LONGEST_CALL: Duration = Duration::from_secs(12);
+const ITEMS: [&str; 3] = ["i-1", "i-2", "i-3"];
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Streams,
+    Drafts,
+    Lookups,
+    /// Lookups over a connection that is used until the daemon closes it.
+    KeptLookups,
+    Jobs,
+}
+
+/// What was seen, and the promises that were broken.
+#[derive(Debug, Clone, Default)]
+pub struct Observed {
+    pub broken: Vec<String>,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    /// Requests of which an answer says that they have not run.
+    not_run: Vec<String>,
+    /// The results of each job by position, as they were first read.
+    results: BTreeMap<(String, usize), String>,
+    accepted: Vec<String>,
+}
+
+pub struct Callers {
+    entries: Vec<SocketAddr>,
+    seed: u64,
+    is_stopped: AtomicBool,
+    observed: Mutex<Observed>,
+}
+
+impl Observed {
+    pub fn summary(&self) -> String {
+        let Self { broken, served, refused, failed, accepted, .. } = self;
+        let (broken, jobs) = (broken.len(), accepted.len());
+        format!("{served} served, {refused} refused, {failed} failed, {jobs} jobs, {broken} broken")
+    }
+}
+
+impl Callers {
+    pub const KINDS: [Kind; 5] =
+        [Kind::Streams, Kind::Drafts, Kind::Lookups, Kind::KeptLookups, Kind::Jobs];
+
+    pub fn new(entries: Vec<SocketAddr>, seed: u64) -> Self {
+        let (is_stopped, observed) = (AtomicBool::new(false), Mutex::default());
+        Self { entries, seed, is_stopped, observed }
+    }
+
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::Relaxed);
+    }
+
+    pub fn observed(&self) -> Observed {
+        self.lock().clone()
+    }
+
+    pub fn jobs(&self) -> Vec<String> {
+        self.lock().accepted.clone()
+    }
+
+    /// Returns whether an entry serves a request now.
+    pub async fn is_served(entry: SocketAddr) -> bool {
+        let id = format!("check-{:x}", rand::rng().random::<u64>());
+        let reply = call(LOOKUPS, &id).send(entry).await;
+        reply.is_ok_and(|it| it.status == 200 && parts(&it).len() as u64 == EVENTS)
+    }
+
+    /// Makes calls of a kind until told to stop.
+    pub async fn call_all(self: Arc<Self>, kind: Kind) {
+        let mut rng = rng::seeded(self.seed ^ ((kind as u64) << 32));
+        let mut number = 0;
+        let mut running = Vec::new();
+        while !self.is_stopped.load(Ordering::Relaxed) {
+            number += 1;
+            let id = format!("{kind:?}-{number}").to_lowercase();
+            let entry = self.entries[rng.random_range(0..self.entries.len())];
+            let cx = Arc::clone(&self);
+            match kind {
+                Kind::KeptLookups => cx.call_over_one_connection(&id, entry).await,
+                Kind::Jobs => {
+                    running.push(task::spawn(cx.submit(id)));
+                    task::sleep(Duration::from_millis(700)).await;
+                }
+                Kind::Streams | Kind::Drafts | Kind::Lookups => {
+                    running.push(task::spawn(cx.call_once(kind, id, entry)));
+                    task::sleep(Duration::from_millis(rng.random_range(20..120))).await;
+                }
+            }
+        }
+        for it in running {
+            it.await;
+        }
+    }
+
+    async fn call_once(self: Arc<Self>, kind: Kind, id: String, entry: SocketAddr) {
+        let prefix = match kind {
+            Kind::Streams => STREAMS,
+            Kind::Drafts => DRAFTS,
+            Kind::Lookups | Kind::KeptLookups | Kind::Jobs => LOOKUPS,
+        };
+        let start = Instant::now();
+        let reply = call(prefix, &id).send(entry).await;
+        let mut observed = self.lock();
+        if start.elapsed() > LONGEST_CALL {
+            observed.broken.push(format!("{id}: no end after {:?}", start.elapsed()));
+        }
+        let Ok(reply) = reply else {
+            observed.failed += 1;
+            return;
+        };
+        observed.note(&id, &reply);
+    }
+
+    /// Sends requests over one connection until the daemon closes it.
+    async fn call_over_one_connection(&self, id: &str, entry: SocketAddr) {
+        let Ok(stream) = TcpStream::connect(entry).await else {
+            task::sleep(Duration::from_millis(100)).await;
+            return;
+        };
+        for n in 0.. {
+            if self.is_stopped.load(Ordering::Relaxed) {
+                return;
+            }
+            let url = Url::parse(&format!("http://{HOST}{LOOKUPS}x")).expect("a fixed URL");
+            let mut req = Request::new(Method::Post, url);
+            req.insert_header("authorization", format!("Bearer {KEY}"));
+            req.insert_header("x-request-id", format!("{id}-{n}"));
+            req.set_body("body");
+            let exchange = async {
+                let mut res = async_h1::connect(stream.clone(), req).await.ok()?;
+                let mut body = Vec::new();
+                res.read_to_end(&mut body).await.ok()?;
+                let closes = res.header("connection").is_some_and(|it| it.as_str() == "close");
+                Some((u16::from(res.status()), closes))
+            };
+            let Ok(answer) = async_std::future::timeout(LONGEST_CALL, exchange).await else {
+                self.lock().broken.push(format!("{id}-{n}: no end after {LONGEST_CALL:?}"));
+                return;
+            };
+            let Some((status, closes)) = answer else {
+                self.lock().failed += 1;
+                return;
+            };
+            *self.lock().count_of(status) += 1;
+            if closes {
+                return;
+            }
+            task::sleep(Duration::from_millis(30)).await;
+        }
+    }
+
+    /// Sends a job until it is accepted, each time to another entry, and reads its results as they come.
+    async fn submit(self: Arc<Self>, id: String) {
+        let mut tries = 0;
+        loop {
+            let entry = self.entries[tries % self.entries.len()];
+            let job = Call::post(JOBS, operator::job(&ITEMS)).key(KEY).header("host", HOST);
+            if job.header("x-request-id", &id).send(entry).await.is_ok_and(|it| it.status == 202) {
+                break;
+            }
+            tries += 1;
+            if tries > 10 || self.is_stopped.load(Ordering::Relaxed) {
+                return;
+            }
+            task::sleep(Duration::from_millis(300)).await;
+        }
+        self.lock().accepted.push(id.clone());
+        while !self.is_stopped.load(Ordering::Relaxed) {
+            tries += 1;
+            self.read_results(&id, self.entries[tries % self.entries.len()]).await;
+            task::sleep(Duration::from_millis(300)).await;
+        }
+    }
+
+    /// Returns how many results a job has, if the entry tells.
+    async fn read_results(&self, id: &str, entry: SocketAddr) -> Option<usize> {
+        let call = Call::get(operator::results_path(id, 0)).key(KEY).header("host", HOST);
+        let reply = call.send(entry).await.ok().filter(|it| it.status != 503)?;
+        let answer = reply.json();
+        let mut observed = self.lock();
+        let Some(results) = answer["results"].as_array() else {
+            observed.broken.push(format!("{id}: accepted, then {} {answer}", reply.status));
+            return None;
+        };
+        for (position, result) in results.iter().enumerate() {
+            let text = result.to_string();
+            let known = observed.results.entry((id.to_owned(), position)).or_insert(text.clone());
+            if *known != text {
+                let change = format!("{id}: position {position} was {known} and is {text}");
+                observed.broken.push(change);
+            }
+        }
+        Some(results.len())
+    }
+
+    pub async fn have_ended(&self, jobs: &[String]) -> bool {
+        self.unfinished(jobs).await.is_empty()
+    }
+
+    pub async fn unfinished(&self, jobs: &[String]) -> Vec<String> {
+        let mut unfinished = Vec::new();
+        for (id, entry) in jobs.iter().zip(self.entries.iter().cycle()) {
+            if self.read_results(id, *entry).await != Some(ITEMS.len()) {
+                unfinished.push(id.clone());
+            }
+        }
+        unfinished
+    }
+
+    /// Checks that every entry tells the same results, and each item once.
+    pub async fn check_results(&self, jobs: &[String]) -> Vec<String> {
+        let before = self.lock().broken.len();
+        for entry in &self.entries {
+            for id in jobs {
+                self.read_results(id, *entry).await;
+            }
+        }
+        let observed = self.lock();
+        let mut broken = observed.broken[before..].to_vec();
+        for id in jobs {
+            let texts = (0..ITEMS.len()).filter_map(|it| observed.results.get(&(id.clone(), it)));
+            let listed: Vec<&String> = texts.collect();
+            for item in ITEMS {
+                let times = listed.iter().filter(|it| it.contains(&format!("\"{item}\""))).count();
+                if times != 1 {
+                    broken.push(format!("{id}: {item} is listed {times} times in {listed:?}"));
+                }
+            }
+        }
+        broken
+    }
+
+    /// Checks how often each request reached a target.
+    pub fn check_runs(&self, asked: &[Asked]) -> Vec<String> {
+        let mut runs: HashMap<&str, u64> = HashMap::new();
+        for it in asked.iter().filter(|it| it.ran) {
+            *runs.entry(it.header("x-request-id").unwrap_or_default()).or_default() += 1;
+        }
+        let mut broken = Vec::new();
+        for (id, count) in &runs {
+            let most = match id.split('-').next() {
+                Some("drafts") => 1,
+                Some("streams" | "lookups" | "keptlookups") => 2,
+                _ => u64::MAX,
+            };
+            if *count > most {
+                broken.push(format!("{id} ran {count} times"));
+            }
+        }
+        let not_run = self.lock().not_run.clone();
+        let has_run = not_run.into_iter().filter(|it| runs.contains_key(it.as_str()));
+        broken.extend(has_run.map(|it| format!("{it} ran though its answer says that it has not")));
+        broken
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Observed> {
+        self.observed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Observed {
+    fn note(&mut self, id: &str, reply: &Reply) {
+        *self.count_of(reply.status) += 1;
+        match reply.status {
+            200 => {
+                let expected: Vec<String> = (1..=EVENTS).map(|n| format!("part {n}")).collect();
+                if parts(reply) != expected {
+                    self.broken.push(format!("{id}: a whole answer with {:?}", parts(reply)));
+                }
+            }
+            429 | 503 => self.not_run.push(id.to_owned()),
+            _ => {}
+        }
+    }
+
+    fn count_of(&mut self, status: u16) -> &mut u64 {
+        match status {
+            200 => &mut self.served,
+            429 | 503 => &mut self.refused,
+            _ => &mut self.failed,
+        }
+    }
+}
+
+fn call(prefix: &str, id: &str) -> Call {
+    let call = Call::post(format!("{prefix}x"), "body").key(KEY);
+    call.header("host", HOST).header("x-request-id", id)
+}
+
+fn parts(reply: &Reply) -> Vec<String> {
+    reply.text().lines().filter_map(|it| it.strip_prefix("data: ")).map(str::to_owned).collect()
+}
--- /dev/null
+++ b/crates/borageshed/tests/soak/site.rs
@@ -0,0 +1,156 @@
+//! Two entry daemons and two that run items, with a relay before the store and before each target.
+
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    sync::atomic::{AtomicU8, Ordering},
+    time::{Duration, Instant},
+};
+
+use async_std::task;
+use serde_json::json;
+use tempfile::TempDir;
+use test_support::{
+    link::Relay,
+    operator,
+    platform::Platform,
+    processes::{Process, binary},
+    target::{Asked, Behaviour, Target},
+};
+
+pub const KEY: &str = "key-one";
+/// The events of each answer.
+pub const EVENTS: u64 = 6;
+/// How a target answers that nothing is wrong with.
+pub const SOUND: Behaviour = Behaviour::Stream { events: EVENTS, pause: Duration::from_millis(15) };
+
+const ENTRIES: u16 = 2;
+const DAEMONS: u16 = 4;
+const TARGETS: usize = 3;
+const CALLERS_PORT: u16 = 8_000;
+const ADMIN_PORT: u16 = 8_100;
+const PEER_PORT: u16 = 8_200;
+const POLL: Duration = Duration::from_millis(50);
+const START_LIMIT: Duration = Duration::from_secs(15);
+
+/// A daemon that faults end and start again.
+pub struct Daemon {
+    pub process: Process,
+    /// Its way to the store.
+    pub store: Relay,
+    args: [String; 2],
+    log: PathBuf,
+}
+
+pub struct Site {
+    pub platform: Platform,
+    pub daemons: Vec<Daemon>,
+    pub targets: Vec<(Target, Relay)>,
+    folder: TempDir,
+    ip: Ipv4Addr,
+}
+
+impl Daemon {
+    pub fn restart(&mut self) -> io::Result<()> {
+        let name = self.process.name().to_owned();
+        self.process = Process::start(&name, &binary("borageshed")?, &self.args, &self.log)?;
+        Ok(())
+    }
+}
+
+impl Site {
+    pub async fn start() -> io::Result<Self> {
+        static NEXT: AtomicU8 = AtomicU8::new(0);
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let ip = Ipv4Addr::new(127, 100 + number % 100, high, low.max(1));
+        let platform = Platform::start(([127, 0, 0, 1], 0).into()).await?;
+        operator::configure(&platform, 2, &[KEY]);
+        let mut targets = Vec::new();
+        for n in 0..TARGETS {
+            let target = Target::start(SOUND).await?;
+            let relay = Relay::start(target.address()).await?;
+            operator::register(&platform, &format!("t-{n}"), relay.address());
+            targets.push((target, relay));
+        }
+        let mut site = Self { platform, daemons: Vec::new(), targets, folder: TempDir::new()?, ip };
+        for n in 0..DAEMONS {
+            let daemon = site.start_daemon(n).await?;
+            site.daemons.push(daemon);
+        }
+        let is_served = async || {
+            for entry in site.entries() {
+                if !super::Callers::is_served(entry).await {
+                    return false;
+                }
+            }
+            true
+        };
+        site.wait_until(START_LIMIT, is_served).await?;
+        Ok(site)
+    }
+
+    async fn start_daemon(&self, n: u16) -> io::Result<Daemon> {
+        let is_entry = n < ENTRIES;
+        let name = format!("{}-{n}", if is_entry { "entry" } else { "worker" });
+        let store = Relay::start(self.platform.address()).await?;
+        let mut settings = json!({
+            "instance": name, "failure_domain": "a", "source": "operator", "cut_withdrawn": false,
+            "admin_listen": SocketAddr::from((self.ip, ADMIN_PORT + n)),
+            "peer_listen": SocketAddr::from((self.ip, PEER_PORT + n)),
+            "platform": { "address": store.address(), "writes_per_s": 100, "reads_per_s": 200 },
+            "rate_allowance": {
+                "share": 0.05, "burst": 10, "head_start_ms": 1_000, "loan_bytes_per_s": 60_000,
+            },
+            "limits": { "drain_lead_ms": 500, "drain_ms": 5_300 },
+            "log_level": "debug",
+        });
+        if is_entry {
+            settings["listen"] = json!(SocketAddr::from((self.ip, CALLERS_PORT + n)));
+            settings["batch"] = json!({ "enabled": false });
+        }
+        let file = self.folder.path().join(format!("{name}.jsonc"));
+        fs::write(&file, settings.to_string())?;
+        let args = ["--settings".to_owned(), file.display().to_string()];
+        let log = self.folder.path().join(format!("{name}.log"));
+        let process = Process::start(&name, &binary("borageshed")?, &args, &log)?;
+        Ok(Daemon { process, store, args, log })
+    }
+
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        (0..ENTRIES).map(|n| SocketAddr::from((self.ip, CALLERS_PORT + n))).collect()
+    }
+
+    pub fn admin_of(&self, entry: SocketAddr) -> SocketAddr {
+        SocketAddr::from((self.ip, entry.port() - CALLERS_PORT + ADMIN_PORT))
+    }
+
+    /// Returns the requests that reached the targets.
+    pub fn asked(&self) -> Vec<Asked> {
+        self.targets.iter().flat_map(|(target, _)| target.asked()).collect()
+    }
+
+    pub async fn wait_until(
+        &self,
+        limit: Duration,
+        is_so: impl AsyncFn() -> bool,
+    ) -> io::Result<()> {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            if is_so().await {
+                return Ok(());
+            }
+            task::sleep(POLL).await;
+        }
+        Err(io::Error::new(io::ErrorKind::TimedOut, format!("not so after {limit:?}")))
+    }
+
+    /// Ends the daemons; keeps their logs if told so, and returns where they are.
+    pub fn end(self, keep_logs: bool) -> PathBuf {
+        drop(self.daemons);
+        let mut folder = self.folder;
+        folder.disable_cleanup(keep_logs);
+        folder.path().to_owned()
+    }
+}
