Move what the rate limiter does as a donor into a module of its own

Cause: limiter.rs has 645 lines and mixes the two sides of a loan.

Change: lending, closing and lapsing of given loans and the reserve of a donor are in limiter/lending.rs. No behaviour changes.

Ruled out: a type of its own for donors; both sides work on the same shares.

Measured: the tests of loans and of rate pass as before.

--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -1,4 +1,6 @@
-//! Decides on requests, lends to peers and borrows from them.
+//! Decides on requests, borrows from peers and, in `lending`, lends to them.
+
+mod lending;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -10,8 +12,8 @@
 use stdx::{Name, Rng, Timestamp};
 
 use crate::rate::{
-    AccountId, Acquire, ClosedLoan, DONOR_HOLD, Holdings, Inputs, MAX_WAIT, RateAction,
-    RateMessage, RequestId, Stats, WaiterId,
+    AccountId, Acquire, DONOR_HOLD, Holdings, Inputs, MAX_WAIT, RateAction, RateMessage, RequestId,
+    Stats, WaiterId,
     borrower::{Borrower, DonorShare, Waiter},
     lender::{Lender, PeerIndex},
     share::Share,
@@ -23,8 +25,6 @@
 const PREFETCH_DEMAND_PER_S: f64 = 10.0;
 /// For how long ahead tokens are borrowed; a longer time would let them lapse or keep them from other instances.
 const PREFETCH_TIME: Duration = Duration::from_millis(200);
-/// How long the share of a donor with own callers must serve them before it lends.
-const RESERVE_TIME: Duration = Duration::from_millis(20);
 /// Accounts with a smaller burst run empty often, so that tokens that overflow at one donor are missed soon.
 const LEVELLING_BURST: Tokens = Tokens::ONE.times(100);
 /// With a smaller burst, spent loans are closed at once: a full donor cannot refill while a loan reduces its capacity.
@@ -313,16 +313,6 @@
         Context { now, actions: Vec::new() }
     }
 
-    fn expire_loans(&mut self, now: Timestamp) {
-        let part = self.part();
-        while let Some(loan) = self.lender.expire(now) {
-            if let Some(share) = self.shares.get_mut(&loan.account) {
-                share.refill(loan.ends_at(), part);
-                share.end_loan(loan.amount, Tokens::ZERO, part);
-            }
-        }
-    }
-
     fn change_own_slots(&mut self, now: Timestamp, own: Vec<Timestamp>) {
         let (before, after) = (self.part(), Part { held: own.len() as u32, of: self.slots });
         self.own_slots = own;
@@ -501,57 +491,6 @@
         }
     }
 
-    /// Answers a loan request.
-    fn lend(
-        &mut self,
-        cx: &mut Context,
-        peer: PeerIndex,
-        account: AccountId,
-        request: RequestId,
-        want: Tokens,
-    ) {
-        // A second loan for a repeated request would only be wasted.
-        if self.lender.has_answered(peer, request) {
-            return;
-        }
-        let now = cx.now;
-        let part = self.part();
-        let (mut amount, mut level, mut is_busy) = (Tokens::ZERO, Tokens::ZERO, false);
-        if let Some(share) = self.shares.get_mut(&account) {
-            share.refill(now, part);
-            let (reserve, busy) = match self.borrowers.get(&account) {
-                Some(borrower) => reserve(now, share, borrower, part),
-                None => (Tokens::ZERO, false),
-            };
-            let spare = share.level().saturating_sub(reserve);
-            amount = want.min(spare);
-            (level, is_busy) = (spare - amount, busy);
-        }
-        let message = RateMessage::LoanGrant { account, request, amount, level, is_busy };
-        if !self.traffic.take_answer(now, message.wire_bytes()) {
-            self.stats.suppressed += 1;
-            return;
-        }
-        if amount > Tokens::ZERO
-            && let Some(share) = self.shares.get_mut(&account)
-        {
-            share.lend(amount, part);
-            self.lender.give(now, peer, request, account, amount);
-        }
-        let to = self.peers[peer as usize].name.clone();
-        cx.send(&mut self.stats, to, message);
-    }
-
-    fn close_given(&mut self, peer: PeerIndex, account: AccountId, closed: Vec<ClosedLoan>) {
-        let part = self.part();
-        for ClosedLoan { request, unspent } in closed {
-            let Some(loan) = self.lender.close(peer, request, account) else { continue };
-            if let Some(share) = self.shares.get_mut(&account) {
-                share.end_loan(loan.amount, unspent.min(loan.amount), part);
-            }
-        }
-    }
-
     /// Returns the shares of the peers that may be asked, in random order, so that borrowers do not all choose alike.
     ///
     /// Peers that were late are left out while another holds slots; a caller had better wait for a slow answer than be
@@ -611,25 +550,6 @@
     admissible.saturating_sub(share.rate().part(part).over(PREFETCH_TIME))
 }
 
-/// Returns what a donor keeps for its own callers, and whether they use up its share.
-///
-/// A share that cannot hold a whole token is of no use by itself and is lent wholly.
-fn reserve(now: Timestamp, share: &Share, borrower: &Borrower, part: Part) -> (Tokens, bool) {
-    let capacity = share.burst().part(part);
-    if capacity < Tokens::ONE || borrower.is_quiet(now) {
-        return (Tokens::ZERO, false);
-    }
-    let second = Duration::from_secs(1);
-    let is_busy =
-        Tokens::from_f64(borrower.demand.per_second(now)) >= share.rate().part(part).over(second);
-    // Callers may wait for a moment only, as after the start of all instances.
-    if !borrower.waiters.is_empty() {
-        return (share.level(), is_busy);
-    }
-    let reserve = Tokens::from_f64(borrower.demand.over(now, RESERVE_TIME));
-    (reserve.min(Tokens::from_billionths(capacity.billionths() / 2)), is_busy)
-}
-
 /// Returns the part of the slots that neither this instance nor a known peer holds.
 fn unknown_part(own_slots: &[Timestamp], peers: &[Peer], of: u32) -> Part {
     let held_by_peers = peers.iter().map(|it| it.slots).sum();
