Keep batch in its own failure domain while that has room

Cause: letting a target of another failure domain with two batch requests less come first was a trial.

--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -13,9 +13,6 @@
     target::{Need, Target},
 };
 
-/// How many batch requests fewer a target of another failure domain must have to come first.
-const REMOTE_BATCH_LEAD: u32 = 2;
-
 impl Dispatcher {
     /// Dispatches what the service's targets can take, online before batch, and stops batch work in the way of online.
     pub(super) fn pump(&mut self, now: Timestamp, service: usize) {
@@ -145,16 +142,18 @@
                 || (held.attempt > 1
                     && self.poison.died_on(&held.request.fingerprint, &it.info.name))
         };
-        let mut usable: Vec<_> = free.iter().copied().filter(|it| !avoided(it)).collect();
-        if held.class() == Class::Online {
-            let has_local = usable.iter().any(|it| it.local);
-            if !has_local && service.estimated_local_wait(settings) <= settings.spill_wait {
-                usable.clear();
-            }
-            usable.retain(|it| it.local || !has_local);
+        let local: Vec<_> = free.iter().copied().filter(|it| it.local && !avoided(it)).collect();
+        if !local.is_empty() {
+            return Some(pick(settings, service, held, &self.preferred(held, &local), salt));
         }
-        if !usable.is_empty() {
-            return Some(pick(settings, service, held, &self.preferred(held, &usable), salt));
+        // Batch has no wait to compare with: slots that stand idle elsewhere are what it is for.
+        let spills = held.class() == Class::Batch
+            || service.estimated_local_wait(settings) > settings.spill_wait;
+        if spills {
+            let remote: Vec<_> = free.iter().copied().filter(|it| !avoided(it)).collect();
+            if !remote.is_empty() {
+                return Some(pick(settings, service, held, &self.preferred(held, &remote), salt));
+            }
         }
         free.iter().find(|it| it.local).map(|it| it.info.name.clone())
     }
@@ -162,12 +161,11 @@
     /// Returns those of the free targets that come first by what the instance knows best.
     ///
     /// Online requests go to the targets of the instance's part, where it has the fewest itself. Batch requests go where the
-    /// fewest are, in any failure domain: they hold their slots for seconds, which is longer than a heartbeat, and targets
-    /// full of them have no slot for the next burst of online requests.
+    /// fewest are: they hold their slots for seconds, which is longer than a heartbeat, and targets full of them have no
+    /// slot for the next burst of online requests.
     fn preferred<'a>(&self, held: &Held, free: &[&'a Target]) -> Vec<&'a Target> {
         if held.class() == Class::Batch {
-            let distance = |it: &Target| if it.local { 0 } else { REMOTE_BATCH_LEAD };
-            return with_fewest(free, |it| it.own.batch + it.peers.batch + distance(it));
+            return with_fewest(free, |it| it.own.batch + it.peers.batch);
         }
         let Some(part) = self.part else { return free.to_vec() };
         let targets = part.targets(&self.services[held.service]);
