Name the store's read call in the stand-in and not in a test of the daemon

Change: the stand-in exports the path, as it does for transactions.

Ruled out: an exception in the check.

--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -18,7 +18,7 @@
 use test_support::{
     http::{Call, Reply},
     operator::{self, DRAFTS, HOST, JOBS, LOOKUPS, STREAMS},
-    platform::{Faults, Platform},
+    platform::{Faults, Platform, READ_KEY_CALL},
     processes::{Process, binary},
     target::{Behaviour, SIGNATURE, Target},
 };
@@ -369,7 +369,7 @@
     assert_eq!(read("job-2", 1).await.0, (1, Some(2)));
     assert_eq!(read("job-2", 2).await.0, (0, Some(2)));
     let after = site.platform.calls();
-    assert_eq!(after.get("/v1/kv-key"), before.get("/v1/kv-key"), "{before:?} {after:?}");
+    assert_eq!(after.get(READ_KEY_CALL), before.get(READ_KEY_CALL), "{before:?} {after:?}");
     Ok(())
 }
 
