--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -13,7 +13,7 @@
 use slog::info;
 
 use super::{Request, Result, identity::Identity, read_body};
-use crate::{clock, job_work::index, known_jobs::Waited, shared::Shared};
+use crate::{clock, job_work::index, shared::Shared};
 
 /// The bytes of results in one answer, which callers take up to a megabyte of.
 const MAX_RESULT_BYTES: usize = 900_000;
@@ -166,8 +166,8 @@
     cx.known_jobs.keep_record(id, &record);
     cx.known_jobs.note_listed(id, entries.len());
     let later: Vec<_> = entries.skip(after).collect();
-    let is_incomplete = later.is_empty()
-        && (page.more || cx.known_jobs.wait_beyond(id, after, wait).await == Waited::Announced);
+    let is_incomplete =
+        later.is_empty() && (page.more || cx.known_jobs.wait_beyond(id, after, wait).await);
     match is_incomplete {
         true => Ok((record, later_results(cx, id, after).await?)),
         false => Ok((record, later)),
--- a/crates/borageshed/src/known_jobs.rs
+++ b/crates/borageshed/src/known_jobs.rs
@@ -20,17 +20,6 @@
     state: Mutex<State>,
 }
 
-/// How a wait for more results ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Waited {
-    /// There was nothing to wait for: the job is not known here, has all its results, or has fewer than were asked for.
-    Not,
-    /// There are more results.
-    Announced,
-    /// The time is up.
-    TimedOut,
-}
-
 #[derive(Debug, Default)]
 struct State {
     jobs: HashMap<JobId, Known>,
@@ -98,24 +87,21 @@
         }
     }
 
-    /// Waits until a job that had exactly `after` results when they were last seen has more, for a time at most.
+    /// Waits until a job that had exactly `after` results when they were last seen has more, for a time at most; returns
+    /// whether it is known to have more than `after`.
     ///
     /// The wait only spares reads of the store, which alone tells the results.
-    pub async fn wait_beyond(&self, id: &JobId, after: usize, limit: Duration) -> Waited {
+    pub async fn wait_beyond(&self, id: &JobId, after: usize, limit: Duration) -> bool {
         let changed = {
             let state = self.lock();
             match state.jobs.get(id) {
                 Some(known) if known.listed == after && after < known.record.total => {
                     known.changed.listen()
                 }
-                Some(known) if known.listed > after => return Waited::Announced,
-                _ => return Waited::Not,
+                known => return known.is_some_and(|it| it.listed > after),
             }
         };
-        match async_std::future::timeout(limit, changed).await {
-            Ok(()) => Waited::Announced,
-            Err(_) => Waited::TimedOut,
-        }
+        async_std::future::timeout(limit, changed).await.is_ok()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -54,13 +54,9 @@
 pub struct RateLimiter {
     slots: u32,
     own_slots: Vec<Timestamp>,
-    /// Until then loans of an earlier run under the same id may be spent.
-    ready_at: Timestamp,
-    /// The time whose refill the shares of the first slots hold, and until when slots count as such.
+    started_at: Timestamp,
+    /// The time whose refill the shares of the first slots hold.
     head_start: Duration,
-    head_start_until: Timestamp,
-    /// Until then the instance may not have heard who holds the slots.
-    slots_known_by: Timestamp,
     /// When slots or limits were last reduced; loans may exceed the share until they lapse.
     reduced_at: Option<Timestamp>,
     ticked_at: Timestamp,
@@ -97,10 +93,8 @@
         let mut limiter = Self {
             slots: doc.fleet.rate_slots,
             own_slots: Vec::new(),
-            ready_at: now + DONOR_HOLD,
+            started_at: now,
             head_start: Duration::ZERO,
-            head_start_until: now + HEAD_START_WINDOW,
-            slots_known_by: now + SLOTS_KNOWN_TIME,
             reduced_at: None,
             ticked_at: now,
             shares: HashMap::new(),
@@ -139,7 +133,8 @@
     /// that wait on an account that is gone are refused. The number of slots stays as it was at the start.
     pub fn set_document(&mut self, now: Timestamp, doc: &Document) -> Vec<RateAction> {
         let mut cx = self.begin(now);
-        let (part, start) = (self.part(), now.max(self.ready_at));
+        // Until then loans of an earlier run under the same id may be spent.
+        let (part, start) = (self.part(), now.max(self.started_at + DONOR_HOLD));
         let mut shares = HashMap::with_capacity(doc.accounts.len());
         for (name, account) in &doc.accounts {
             let id = AccountId::of(name);
@@ -323,7 +318,10 @@
             share.refill(now, before);
             share.refill(now, after);
         }
-        if after.held > before.held && now < self.head_start_until && !self.head_start.is_zero() {
+        if after.held > before.held
+            && now < self.started_at + HEAD_START_WINDOW
+            && !self.head_start.is_zero()
+        {
             let gained = Part { held: after.held - before.held, of: after.of };
             for share in self.shares.values_mut() {
                 let half = Tokens::from_billionths(share.burst().part(gained).billionths() / 2);
@@ -425,7 +423,7 @@
         };
         let Some(last) = borrower.waiters.back() else { return };
         let part = own_part(&self.own_slots, self.slots);
-        let unknown = match now < self.slots_known_by {
+        let unknown = match now < self.started_at + SLOTS_KNOWN_TIME {
             true => share.burst().part(unknown_part(&self.own_slots, &self.peers, self.slots)),
             false => Tokens::ZERO,
         };
