Share the waiting and the reading of streams among tests

Cause: reading the change again. The soak wrote wait_until a fourth time and the data lines of a stream once more; the tests of operator repeat how a job is sent and how its end is awaited.

Change: test_support::wait::wait_until and Reply::event_data serve all of them; the tests of operator have submission and wait_for_results. Assertions and limits are the same; the matrix stops waiting at its limit instead of up to one poll later.

Ruled out: one site for the soak and operator; the soak needs relays and restarts, and its shape alone is alike.

Conclusion: four copies are one.

--- a/crates/borageshed/tests/matrix/world.rs
+++ b/crates/borageshed/tests/matrix/world.rs
@@ -1,10 +1,6 @@
 //! The deployment that cells share, and a switch for each fault.
 
-use std::{
-    io,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{io, net::SocketAddr, time::Duration};
 
 use async_std::task;
 use base64::{Engine as _, engine::general_purpose::STANDARD};
@@ -16,6 +12,7 @@
     http::{Call, Reply},
     link::Relay,
     processes::Process,
+    wait,
 };
 
 use crate::table::Fault;
@@ -352,15 +349,8 @@
 }
 
 /// Waits for a condition, at most [`LIMIT`].
-pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) -> io::Result<()> {
-    let start = Instant::now();
-    while !holds().await {
-        if start.elapsed() > LIMIT {
-            return Err(io::Error::other(format!("it takes more than {LIMIT:?} until {what}")));
-        }
-        task::sleep(POLL).await;
-    }
-    Ok(())
+pub async fn wait_until(what: &str, holds: impl AsyncFnMut() -> bool) -> io::Result<()> {
+    wait::wait_until(what, LIMIT, POLL, holds).await
 }
 
 fn section(accounts: &Map<String, Value>) -> Vec<(SectionId, Name)> {
--- a/crates/borageshed/tests/online.rs
+++ b/crates/borageshed/tests/online.rs
@@ -185,9 +185,9 @@
     let (reply, ()) = futures::join!(stream, silence);
     let reply = reply.expect("a whole stream");
     let text = reply.text();
-    let offsets: Vec<u64> = text
-        .lines()
-        .filter_map(|it| it.strip_prefix("data: "))
+    let offsets: Vec<u64> = reply
+        .event_data()
+        .iter()
         .filter_map(|it| serde_json::from_str::<Value>(it).ok())
         .filter_map(|it| it["offset"].as_u64())
         .collect();
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -21,6 +21,7 @@
     platform::{Faults, Platform, READ_KEY_CALL},
     processes::{Process, binary},
     target::{Behaviour, SIGNATURE, Target},
+    wait,
 };
 
 const KEY: &str = "key-one";
@@ -87,6 +88,15 @@
         call.header("host", HOST).send(self.callers()).await.expect("an answer")
     }
 
+    /// Waits until a job has as many results as it has items.
+    async fn wait_for_results(&self, job: &str, items: usize) -> io::Result<()> {
+        let has_all = async || {
+            let path = operator::results_path(job, 0);
+            self.send(Call::get(path).key(KEY)).await.json()["next"] == items
+        };
+        wait_until(&format!("{job} is finished"), has_all).await
+    }
+
     fn stored_results(&self, job: &str) -> usize {
         let prefix = format!("work/job/{job}/progress/results/");
         self.platform.with_kv(|kv| kv.range(&prefix, None).items.len())
@@ -94,26 +104,19 @@
 }
 
 async fn wait_until(what: &str, is_so: impl AsyncFn() -> bool) -> io::Result<()> {
-    let start = Instant::now();
-    while start.elapsed() < LIMIT {
-        if is_so().await {
-            return Ok(());
-        }
-        task::sleep(POLL).await;
-    }
-    Err(io::Error::new(io::ErrorKind::TimedOut, what.to_owned()))
+    wait::wait_until(what, LIMIT, POLL, is_so).await
 }
 
 fn call(prefix: &str, id: &str) -> Call {
     Call::post(format!("{prefix}x?y=1"), "body").key(KEY).header("x-request-id", id)
 }
 
-fn stream(events: u64, pause_ms: u64) -> Behaviour {
-    Behaviour::Stream { events, pause: Duration::from_millis(pause_ms) }
+fn submission(id: &str, items: &[&str]) -> Call {
+    Call::post(JOBS, operator::job(items)).key(KEY).header("x-request-id", id)
 }
 
-fn parts(reply: &Reply) -> Vec<String> {
-    reply.text().lines().filter_map(|it| it.strip_prefix("data: ")).map(str::to_owned).collect()
+fn stream(events: u64, pause_ms: u64) -> Behaviour {
+    Behaviour::Stream { events, pause: Duration::from_millis(pause_ms) }
 }
 
 // Guards against a target that sees the caller's key, another path or no account, and against a lost signature.
@@ -167,7 +170,7 @@
     assert_eq!(reply.status, 200, "{}", reply.text());
     assert_eq!(reply.header(SIGNATURE), Some("stamp-r-1"));
     let expected: Vec<String> = (1..=6).map(|n| format!("part {n}")).collect();
-    assert_eq!(parts(&reply), expected);
+    assert_eq!(reply.event_data(), expected);
     let asked = [target.asked(), other.asked()];
     assert!(asked.iter().all(|it| it.len() == 1), "each target was asked once: {asked:?}");
     let resumed = asked.iter().flatten().filter_map(|it| it.header("last-event-id"));
@@ -194,7 +197,7 @@
     let site = Site::start(&[("t-1", &full), ("t-2", &free)]).await?;
     for n in 0..8 {
         let reply = site.send(call(DRAFTS, &format!("r-{n}"))).await;
-        assert_eq!((reply.status, parts(&reply).len()), (200, 2), "{}", reply.text());
+        assert_eq!((reply.status, reply.event_data().len()), (200, 2), "{}", reply.text());
     }
     free.set(Behaviour::Full);
     let start = Instant::now();
@@ -237,7 +240,7 @@
         operator::configure(&site.platform, 5, &["key-two"]);
     };
     let (reply, ()) = futures::future::join(asks, withdraws).await;
-    assert_eq!(parts(&reply).len(), 10, "{}", reply.text());
+    assert_eq!(reply.event_data().len(), 10, "{}", reply.text());
     let refused = async || site.send(call(LOOKUPS, "r-2")).await.status == 401;
     wait_until("the key is refused", refused).await?;
     let two = call(LOOKUPS, "r-3").header("authorization", "Bearer key-two");
@@ -304,7 +307,7 @@
         site.entry.terminate();
     };
     let (reply, ()) = futures::future::join(asks, stops).await;
-    assert_eq!(parts(&reply).len(), 12, "{}", reply.text());
+    assert_eq!(reply.event_data().len(), 12, "{}", reply.text());
     let status = site.entry.wait(LIMIT).expect("the daemon ends");
     assert!(status.success(), "{status}");
     Ok(())
@@ -315,9 +318,8 @@
 async fn a_job_is_accepted_once_and_its_results_stay_where_they_were_read() -> io::Result<()> {
     let target = Target::start(stream(5, 5)).await?;
     let site = Site::start(&[("t-1", &target)]).await?;
-    let submit = || Call::post(JOBS, operator::job(&["i-1", "i-2", "i-3"])).key(KEY);
     for _ in 0..2 {
-        let reply = site.send(submit().header("x-request-id", "job-1")).await;
+        let reply = site.send(submission("job-1", &["i-1", "i-2", "i-3"])).await;
         assert_eq!(reply.status, 202, "{}", reply.text());
     }
     let read = async |after| {
@@ -346,12 +348,8 @@
 -> io::Result<()> {
     let target = Target::start(stream(5, 5)).await?;
     let mut site = Site::start(&[("t-1", &target)]).await?;
-    let submit = |id| {
-        let job = Call::post(JOBS, operator::job(&["i-1", "i-2"])).key(KEY);
-        job.header("x-request-id", id)
-    };
     for id in ["job-1", "job-2"] {
-        assert_eq!(site.send(submit(id)).await.status, 202);
+        assert_eq!(site.send(submission(id, &["i-1", "i-2"])).await.status, 202);
         wait_until("every item has a result", async || site.stored_results(id) == 2).await?;
     }
     site.worker.crash();
@@ -378,8 +376,7 @@
 async fn an_ended_job_stops_and_its_end_can_be_repeated() -> io::Result<()> {
     let target = Target::start(stream(100, 100)).await?;
     let site = Site::start(&[("t-1", &target)]).await?;
-    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
-    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
     wait_until("the item runs", async || !target.asked().is_empty()).await?;
     let path = operator::results_path("job-1", 0);
     let path = path.split('?').next().expect("a path");
@@ -399,8 +396,7 @@
 async fn an_end_of_a_job_that_may_have_taken_effect_is_not_refused() -> io::Result<()> {
     let target = Target::start(stream(100, 100)).await?;
     let site = Site::start(&[("t-1", &target)]).await?;
-    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
-    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
     let path = operator::results_path("job-1", 0);
     let path = path.split('?').next().expect("a path").to_owned();
     let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
@@ -421,8 +417,7 @@
 async fn a_job_is_refused_only_if_nothing_was_stored() -> io::Result<()> {
     let target = Target::start(stream(2, 0)).await?;
     let site = Site::start(&[("t-1", &target)]).await?;
-    let submit =
-        |id: &str| Call::post(JOBS, operator::job(&["i-1"])).key(KEY).header("x-request-id", id);
+    let submit = |id: &str| submission(id, &["i-1"]);
     let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
     faults(Faults { refuse_with: Some(503), ..Faults::default() });
     assert_eq!(site.send(submit("job-1")).await.status, 503);
@@ -432,7 +427,7 @@
     assert_eq!(site.send(unknown).await.status, 404);
     let large: Vec<String> = (0..150).map(|n| format!("i-{n}")).collect();
     let large: Vec<&str> = large.iter().map(String::as_str).collect();
-    let large = Call::post(JOBS, operator::job(&large)).key(KEY).header("x-request-id", "job-3");
+    let large = submission("job-3", &large);
     assert_eq!(site.send(large).await.status, 429, "more tokens than may wait");
     Ok(())
 }
@@ -442,8 +437,7 @@
 async fn a_job_of_a_killed_daemon_is_taken_over_by_the_next_run() -> io::Result<()> {
     let target = Target::start(stream(40, 50)).await?;
     let mut site = Site::start(&[("t-1", &target)]).await?;
-    let submit = Call::post(JOBS, operator::job(&["i-1", "i-2"])).key(KEY);
-    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    assert_eq!(site.send(submission("job-1", &["i-1", "i-2"])).await.status, 202);
     wait_until("items run", async || target.asked().len() == 2).await?;
     site.worker.crash();
     target.set(stream(40, 1));
@@ -451,11 +445,7 @@
     let args = ["--settings".to_owned(), file.display().to_string()];
     let log = site._folder.path().join("worker-2.log");
     site.worker = Process::start("worker", &binary("borageshed")?, &args, &log)?;
-    let read = async || {
-        let path = operator::results_path("job-1", 0);
-        site.send(Call::get(path).key(KEY)).await.json()["next"] == 2
-    };
-    wait_until("the job is finished", read).await
+    site.wait_for_results("job-1", 2).await
 }
 
 // Guards against a job that stays claimed and is never run, because its claim or its items could not be read at the time.
@@ -467,8 +457,7 @@
     for n in 0..12 {
         faults(Faults { refuse_with: Some(0), lose_answers: Some(0), ..Faults::default() });
         let id = format!("job-{n}");
-        let submit = Call::post(JOBS, operator::job(&[&format!("i-{n}")])).key(KEY);
-        assert_eq!(site.send(submit.header("x-request-id", &id)).await.status, 202);
+        assert_eq!(site.send(submission(&id, &[&format!("i-{n}")])).await.status, 202);
         // The claim follows within some milliseconds, and the reads of the job after it.
         task::sleep(Duration::from_millis(150 + 2 * n)).await;
         faults(Faults { refuse_with: Some(503), lose_answers: Some(1), ..Faults::default() });
@@ -476,11 +465,7 @@
     }
     faults(Faults { refuse_with: Some(0), lose_answers: Some(0), ..Faults::default() });
     for n in 0..12 {
-        let read = async || {
-            let path = operator::results_path(&format!("job-{n}"), 0);
-            site.send(Call::get(path).key(KEY)).await.json()["next"] == 1
-        };
-        wait_until(&format!("job {n} is finished"), read).await?;
+        site.wait_for_results(&format!("job-{n}"), 1).await?;
     }
     Ok(())
 }
@@ -492,18 +477,13 @@
     let site = Site::start(&[("t-1", &target)]).await?;
     let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
     site.worker.pause();
-    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
-    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
     faults(Faults { refuse_reads: Some(true), ..Faults::default() });
     site.worker.resume();
     task::sleep(Duration::from_millis(1_500)).await;
     assert!(target.asked().is_empty());
     faults(Faults { refuse_reads: Some(false), ..Faults::default() });
-    let read = async || {
-        let path = operator::results_path("job-1", 0);
-        site.send(Call::get(path).key(KEY)).await.json()["next"] == 1
-    };
-    wait_until("the job is finished", read).await
+    site.wait_for_results("job-1", 1).await
 }
 
 // Guards against a job that its own daemon keeps claimed without running it, because the claim could not be removed when the
@@ -513,9 +493,8 @@
     let target = Target::start(stream(4, 100)).await?;
     let site = Site::start(&[("t-1", &target)]).await?;
     let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
-    let submit =
-        Call::post(JOBS, operator::job(&["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"])).key(KEY);
-    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    let items = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"];
+    assert_eq!(site.send(submission("job-1", &items)).await.status, 202);
     wait_until("an item runs", async || !target.asked().is_empty()).await?;
     faults(Faults { refuse_reads: Some(true), lose_answers: Some(1_000), ..Faults::default() });
     wait_until("a result is stored", async || site.stored_results("job-1") > 0).await?;
@@ -523,11 +502,7 @@
     task::sleep(Duration::from_millis(1_500)).await;
     let (outage, refuse_reads) = (Some(false), Some(false));
     faults(Faults { outage, refuse_reads, lose_answers: Some(0), ..Faults::default() });
-    let read = async || {
-        let path = operator::results_path("job-1", 0);
-        site.send(Call::get(path).key(KEY)).await.json()["next"] == 6
-    };
-    wait_until("the job is finished", read).await
+    site.wait_for_results("job-1", 6).await
 }
 
 // Guards against an instance that is taken away while it holds work, and against an order without an answer.
@@ -535,8 +510,7 @@
 async fn an_instance_that_is_to_be_emptied_gives_up_its_work_and_says_so() -> io::Result<()> {
     let target = Target::start(stream(200, 50)).await?;
     let site = Site::start(&[("t-1", &target)]).await?;
-    let submit = Call::post(JOBS, operator::job(&["i-1"])).key(KEY);
-    assert_eq!(site.send(submit.header("x-request-id", "job-1")).await.status, 202);
+    assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
     wait_until("the item runs", async || !target.asked().is_empty()).await?;
     operator::retire(&site.platform, "worker");
     let told = async || operator::retirement(&site.platform, "worker");
--- a/crates/borageshed/tests/soak/callers.rs
+++ b/crates/borageshed/tests/soak/callers.rs
@@ -90,7 +90,7 @@
     pub async fn is_served(entry: SocketAddr) -> bool {
         let id = format!("check-{:x}", rand::rng().random::<u64>());
         let reply = call(LOOKUPS, &id).send(entry).await;
-        reply.is_ok_and(|it| it.status == 200 && parts(&it).len() as u64 == EVENTS)
+        reply.is_ok_and(|it| it.status == 200 && it.event_data().len() as u64 == EVENTS)
     }
 
     /// Makes calls of a kind until told to stop.
@@ -221,10 +221,6 @@
         Some(results.len())
     }
 
-    pub async fn have_ended(&self, jobs: &[String]) -> bool {
-        self.unfinished(jobs).await.is_empty()
-    }
-
     pub async fn unfinished(&self, jobs: &[String]) -> Vec<String> {
         let mut unfinished = Vec::new();
         for (id, entry) in jobs.iter().zip(self.entries.iter().cycle()) {
@@ -292,8 +288,8 @@
         match reply.status {
             200 => {
                 let expected: Vec<String> = (1..=EVENTS).map(|n| format!("part {n}")).collect();
-                if parts(reply) != expected {
-                    self.broken.push(format!("{id}: a whole answer with {:?}", parts(reply)));
+                if reply.event_data() != expected {
+                    self.broken.push(format!("{id}: a whole answer with {:?}", reply.event_data()));
                 }
             }
             429 | 503 => self.not_run.push(id.to_owned()),
@@ -314,7 +310,3 @@
     let call = Call::post(format!("{prefix}x"), "body").key(KEY);
     call.header("host", HOST).header("x-request-id", id)
 }
-
-fn parts(reply: &Reply) -> Vec<String> {
-    reply.text().lines().filter_map(|it| it.strip_prefix("data: ")).map(str::to_owned).collect()
-}
--- a/crates/borageshed/tests/soak/main.rs
+++ b/crates/borageshed/tests/soak/main.rs
@@ -13,8 +13,8 @@
 use async_std::task;
 use callers::{Callers, Observed};
 use faults::Faults;
-use site::Site;
-use test_support::http::Call;
+use site::{POLL, Site};
+use test_support::{http::Call, wait::wait_until};
 
 /// Seeds that failed once: the soak let a pause of a daemon last until another daemon had stopped, and took the calls that
 /// the paused one held as too slow.
@@ -59,11 +59,13 @@
     }
     let mut observed = callers.observed();
     observed.broken.extend(exits);
-    if let Err(e) = site.wait_until(RECOVERY, async || serves(&site).await).await {
+    let is_served = async || serves(&site).await;
+    if let Err(e) = wait_until("every entry serves", RECOVERY, POLL, is_served).await {
         observed.broken.push(format!("not served after the faults: {e}"));
     }
     let jobs = callers.jobs();
-    if site.wait_until(RECOVERY, async || callers.have_ended(&jobs).await).await.is_err() {
+    let have_ended = async || callers.unfinished(&jobs).await.is_empty();
+    if wait_until("every job has ended", RECOVERY, POLL, have_ended).await.is_err() {
         observed.broken.push(format!("jobs not finished: {:?}", callers.unfinished(&jobs).await));
     }
     observed.broken.extend(callers.check_results(&jobs).await);
--- a/crates/borageshed/tests/soak/site.rs
+++ b/crates/borageshed/tests/soak/site.rs
@@ -5,10 +5,9 @@
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::atomic::{AtomicU8, Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use async_std::task;
 use serde_json::json;
 use tempfile::TempDir;
 use test_support::{
@@ -17,6 +16,7 @@
     platform::Platform,
     processes::{Process, binary},
     target::{Asked, Behaviour, Target},
+    wait::wait_until,
 };
 
 pub const KEY: &str = "key-one";
@@ -31,7 +31,7 @@
 const CALLERS_PORT: u16 = 8_000;
 const ADMIN_PORT: u16 = 8_100;
 const PEER_PORT: u16 = 8_200;
-const POLL: Duration = Duration::from_millis(50);
+pub const POLL: Duration = Duration::from_millis(50);
 const START_LIMIT: Duration = Duration::from_secs(15);
 
 /// A daemon that faults end and start again.
@@ -87,7 +87,7 @@
             }
             true
         };
-        site.wait_until(START_LIMIT, is_served).await?;
+        wait_until("every entry serves", START_LIMIT, POLL, is_served).await?;
         Ok(site)
     }
 
@@ -131,21 +131,6 @@
         self.targets.iter().flat_map(|(target, _)| target.asked()).collect()
     }
 
-    pub async fn wait_until(
-        &self,
-        limit: Duration,
-        is_so: impl AsyncFn() -> bool,
-    ) -> io::Result<()> {
-        let start = Instant::now();
-        while start.elapsed() < limit {
-            if is_so().await {
-                return Ok(());
-            }
-            task::sleep(POLL).await;
-        }
-        Err(io::Error::new(io::ErrorKind::TimedOut, format!("not so after {limit:?}")))
-    }
-
     /// Ends the daemons; keeps their logs if told so, and returns where they are.
     pub fn end(self, keep_logs: bool) -> PathBuf {
         drop(self.daemons);
--- a/crates/test-support/src/deployment.rs
+++ b/crates/test-support/src/deployment.rs
@@ -26,6 +26,7 @@
     http::{Call, Reply},
     link::Relay,
     processes::{Process, binary, stand_in},
+    wait::wait_until,
 };
 
 /// How long a part of a deployment may take to start.
@@ -446,17 +447,9 @@
     }
 
     async fn wait_for(&self, address: SocketAddr, call: Call) -> io::Result<()> {
-        let start = Instant::now();
-        while start.elapsed() < START_LIMIT {
-            if call.send(address).await.is_ok_and(|it| it.status < 300) {
-                return Ok(());
-            }
-            task::sleep(POLL).await;
-        }
-        Err(timed_out(&format!(
-            "{address} is not ready; logs are in {}",
-            self.folder.path().display()
-        )))
+        let is_ready = async || call.send(address).await.is_ok_and(|it| it.status < 300);
+        let what = format!("{address} is ready; logs are in {}", self.folder.path().display());
+        wait_until(&what, START_LIMIT, POLL, is_ready).await
     }
 
     fn address(&self, port: u16, i: usize) -> SocketAddr {
--- a/crates/test-support/src/http.rs
+++ b/crates/test-support/src/http.rs
@@ -136,6 +136,12 @@
         serde_json::from_slice(&self.body).unwrap_or_default()
     }
 
+    /// Returns the data of the events of a stream, line by line.
+    pub fn event_data(&self) -> Vec<String> {
+        let text = self.text();
+        text.lines().filter_map(|it| it.strip_prefix("data: ")).map(str::to_owned).collect()
+    }
+
     /// Returns a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`plain`]: a plain service that counts executions.
 //! - [`kv`], [`platform`]: the platform's key-value service.
 //! - [`processes`]: starts, pauses and ends processes.
+//! - [`wait`]: waits for what another process brings about.
 
 pub mod deployment;
 pub mod engine;
@@ -16,5 +17,6 @@
 pub mod link;
 pub mod plain;
 pub mod processes;
+pub mod wait;
 
 pub use platform_stand_in::{kv, operator, server as platform, target};
