Send no new work to a target whose answer says that it shuts down

A target that leaves says so in each answer (Server-Leaving: 1), some time before the list of targets tells of it, or without the list telling at all. The header was not read.

Change: the note is read from every answer of a target, refusals and health checks included, and makes the target leaving for this daemon at once. It holds for the run of the target, which the list tells apart by the time of its start, so that a late list does not undo it and a target that starts again under its name takes work.

Ruled out: a misdirected answer (421) comes from another target and says nothing of the one that was asked.

Before: a_target_that_says_that_it_leaves_is_asked_no_more fails (the target is asked again). After: it passes, with the three tests of dispatch_leaving.rs.

--- a/crates/borageshed/src/effects.rs
+++ b/crates/borageshed/src/effects.rs
@@ -86,7 +86,7 @@
     let request_id = cx.request_id();
     let answer = cx.client.send_over_new_connection(address, &request_id, req);
     match timeout(PROBE_TIMEOUT, answer).await {
-        Ok(Ok(res)) => protocol::shows_health(cx, &res, target),
+        Ok(Ok(res)) => protocol::shows_health(cx, &res, service, target),
         Ok(Err(_)) | Err(_) => false,
     }
 }
--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use fleet::QualifiedName;
 use http_types::{Request, Response};
 use platform::egress::{self, AnswerNotes, Envelope, NotRun};
 use policy::dispatch::{Event, NotRunCause};
@@ -36,12 +37,16 @@
     Some(req)
 }
 
-/// Tells why a target did not run a request; `None` if it may have. The target's load goes to the control thread.
+/// Tells why a target did not run a request; `None` if it may have. What the answer says of the target goes to the control
+/// thread.
 pub fn not_run(cx: &Shared, call: &Call, target: &Name, res: &Response) -> Option<NotRunCause> {
     if cx.settings.source == FleetSource::Document {
         return None;
     }
-    let AnswerNotes { not_run, load } = egress::notes(res);
+    let AnswerNotes { not_run, load, leaving } = egress::notes(res);
+    if leaving && not_run != Some(NotRun::Misdirected) {
+        tell_leaving(cx, &call.service, target);
+    }
     if let Some(load) = load {
         cx.control.send(ControlEvent::Dispatch(Event::LoadReport {
             service: call.service.clone(),
@@ -55,15 +60,25 @@
     })
 }
 
-/// Tells whether the answer to a health check shows that the target serves.
-pub fn shows_health(cx: &Shared, res: &Response, target: &Name) -> bool {
+/// Tells whether the answer to a health check shows that the target serves. Whether it shuts down goes to the control thread.
+pub fn shows_health(cx: &Shared, res: &Response, service: &QualifiedName, target: &Name) -> bool {
     match cx.settings.source {
         // Any answer shows that the target runs; its status says nothing about its ability to serve.
         FleetSource::Document => true,
-        FleetSource::Operator => egress::shows_health(res, target),
+        FleetSource::Operator => {
+            if egress::is_of(res, target) && egress::notes(res).leaving {
+                tell_leaving(cx, service, target);
+            }
+            egress::shows_health(res, target)
+        }
     }
 }
 
+fn tell_leaving(cx: &Shared, service: &QualifiedName, target: &Name) {
+    let (service, target) = (service.clone(), target.clone());
+    cx.control.send(ControlEvent::Dispatch(Event::TargetLeaving { service, target }));
+}
+
 /// How long a connection attempt may take that only tells whether a target lives.
 const LIFE_CHECK_LIMIT: Duration = Duration::from_millis(300);
 
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -208,6 +208,22 @@
     Ok(())
 }
 
+// Guards against requests for a target that has said that it shuts down, also in a refusal, while the list still names it.
+#[async_std::test]
+async fn a_target_that_says_that_it_leaves_is_asked_no_more() -> io::Result<()> {
+    for last_words in [Behaviour::Leaving(200), Behaviour::Leaving(500)] {
+        let (leaving, other) =
+            (Target::start(last_words).await?, Target::start(Behaviour::Status(200)).await?);
+        let site = Site::start(&[("t-1", &leaving), ("t-2", &other)]).await?;
+        for n in 0..12 {
+            let reply = site.send(call(LOOKUPS, &format!("r-{n}"))).await;
+            assert_eq!(reply.status, 200, "{}", reply.text());
+        }
+        assert_eq!(leaving.asked().len(), 1, "{last_words:?}");
+    }
+    Ok(())
+}
+
 // Guards against the failure of one target that reaches the caller of a request that another target can serve.
 #[async_std::test]
 async fn an_idempotent_request_that_failed_at_one_target_runs_at_another() -> io::Result<()> {
--- a/crates/policy/examples/dispatch-experiment/cost.rs
+++ b/crates/policy/examples/dispatch-experiment/cost.rs
@@ -95,6 +95,7 @@
         concurrency: CONCURRENCY,
         leaving: false,
         registered: false,
+        run: 0,
     }
 }
 
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -175,6 +175,7 @@
                 concurrency: setup.engine.max_running as u32,
                 leaving: false,
                 registered: false,
+                run: 0,
             })
             .collect();
         let node = || Node { engine: Engine::new(setup.engine), life: 0, up_at: 0, doomed: false };
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -8,6 +8,7 @@
 
 use super::{
     claims::ClaimTable,
+    departures::Departures,
     event::{Event, PeerLoad, TargetInfo},
     fair::Entry,
     health::{HealthEvent, HealthState},
@@ -36,6 +37,8 @@
     pub(super) repeats: Vec<(Timestamp, Action)>,
     pub(super) runs_announced: Timestamp,
     pub(super) peers: IndexMap<Name, Peer>,
+    /// The targets that said themselves that they shut down.
+    departures: Departures,
     pub(super) last_prune: Timestamp,
     /// The targets that this instance goes to first; `None` for no preference.
     pub(super) part: Option<Part>,
@@ -93,6 +96,7 @@
             repeats: Vec::new(),
             runs_announced: Timestamp::ZERO,
             peers: IndexMap::new(),
+            departures: Departures::default(),
             part: None,
             last_prune: Timestamp::ZERO,
             share_wanted: false,
@@ -161,6 +165,9 @@
             Event::TargetsChanged { service, targets } => {
                 self.on_targets_changed(now, service, targets);
             }
+            Event::TargetLeaving { service, target } => {
+                self.on_target_leaving(now, &service, &target);
+            }
             Event::Probed { service, target, ok } => {
                 let event = if ok { HealthEvent::ProbeOk } else { HealthEvent::ProbeFailed };
                 if let Some(index) = self.services.get_index_of(&service) {
@@ -350,7 +357,8 @@
         let gone = service.targets.values().filter(|it| !it.listed);
         gone.for_each(|it| self.poison.confirm_death(now, &it.info.name));
         let mut changed = Vec::new();
-        for info in targets {
+        for mut info in targets {
+            info.leaving |= self.departures.contains(&service.name, &info);
             let local = info.failure_domain == self.settings.failure_domain;
             let (name, leaving) = (info.name.clone(), info.leaving);
             let target = service
@@ -381,6 +389,19 @@
         self.pump(now, index);
     }
 
+    /// Sends a target no new work from now on, whatever the list says of this run of it.
+    fn on_target_leaving(&mut self, now: Timestamp, service: &QualifiedName, name: &Name) {
+        let Some((index, target)) = self.target_mut(service, name) else { return };
+        target.info.leaving = true;
+        let info = target.info.clone();
+        self.departures.note(service, &info);
+        if self.services[index].targets[name].health.state() != HealthState::Leaving {
+            self.health_event(now, index, name, HealthEvent::Leaving);
+            self.refresh_targets(now, index);
+            self.pump(now, index);
+        }
+    }
+
     fn enqueue_new(&mut self, service: usize, request: Request) {
         let id = request.id;
         let entry = Entry { id, cost: request.cost.max(1), bytes: request.bytes };
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -75,6 +75,13 @@
             /// The targets.
             targets: Vec<TargetInfo>,
         },
+        /// An answer of a target said that the target shuts down.
+        TargetLeaving {
+            /// The service of the target.
+            service: QualifiedName,
+            /// The name of the target.
+            target: Name,
+        },
         /// A probe ended.
         Probed {
             /// The service of the target.
@@ -169,6 +176,8 @@
         pub leaving: bool,
         /// Whether a registry says that the target serves, so that it needs no probe before its first request.
         pub registered: bool,
+        /// Differs between two runs of a target under one name, as far as the list tells them apart.
+        pub run: u64,
     }
 }
 
@@ -199,6 +208,7 @@
             concurrency: target.concurrency,
             leaving: target.leaving,
             registered: false,
+            run: 0,
         })
         .collect()
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! - [`settings`]: limits and intervals.
 //! - `budget`: the retry budget.
 //! - `claims`: exclusive runs of suspects over instances.
+//! - `departures`: the targets that said that they shut down.
 //! - `fair`: the weighted fair queue.
 //! - `health`: target health, interpreted from a state chart.
 //! - `invariants`: checks over the whole state.
@@ -25,6 +26,7 @@
 
 mod budget;
 mod claims;
+mod departures;
 mod fair;
 mod health;
 mod invariants;
--- /dev/null
+++ b/crates/policy/tests/dispatch_leaving.rs
@@ -0,0 +1,49 @@
+//! Targets that say in their answers that they shut down.
+
+use dispatch_support::{Bench, SECOND, ids, online, refusals, service, target};
+use policy::dispatch::{Event, TargetInfo};
+
+mod dispatch_support;
+
+fn listed(name: &str, run: u64) -> TargetInfo {
+    TargetInfo { registered: true, run, ..target(name, "z1", 4) }
+}
+
+fn leaving(bench: &mut Bench, name: &str) {
+    bench.event(Event::TargetLeaving { service: service(), target: name.into() });
+}
+
+/// Guards against new work for a target that has said that it shuts down, while the list of targets lags.
+#[test]
+fn a_target_that_says_that_it_leaves_gets_no_new_work_though_the_list_names_it() {
+    let mut bench = Bench::new(&[listed("t1", 1)]);
+    assert_eq!(ids(&bench.submit(online(1))), [1]);
+    leaving(&mut bench, "t1");
+    bench.list(&[listed("t1", 1)]);
+    let refused = bench.submit(online(2));
+    assert_eq!((ids(&refused), refusals(&refused).len()), (vec![], 1));
+    bench.list(&[]);
+    bench.list(&[listed("t1", 1)]);
+    bench.pass(SECOND);
+    assert_eq!(ids(&bench.submit(online(3))), [0_u64; 0]);
+}
+
+/// Guards against a target that is out of use for good after it has started again under its name.
+#[test]
+fn a_target_that_starts_again_under_its_name_takes_work() {
+    let mut bench = Bench::new(&[listed("t1", 1)]);
+    leaving(&mut bench, "t1");
+    bench.list(&[listed("t1", 2)]);
+    assert_eq!(ids(&bench.submit(online(1))), [1]);
+}
+
+/// Guards against requests that wait for a target which takes no more of them, while another one could.
+#[test]
+fn work_goes_to_other_targets_at_once() {
+    let mut bench = Bench::new(&[listed("t1", 1), listed("t2", 1)]);
+    leaving(&mut bench, "t1");
+    for id in 1..=4 {
+        let placed = bench.submit(online(id));
+        assert_eq!(dispatch_support::dispatches(&placed), [(id, "t2".into())]);
+    }
+}
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -31,6 +31,7 @@
         concurrency,
         leaving: false,
         registered: false,
+        run: 0,
     }
 }
 
