--- /dev/null
+++ b/crates/kv-store/tests/replica.rs
@@ -0,0 +1,124 @@
+//! Copies of a prefix that hear of changes from sources which lag, drop changes and differ.
+
+use std::collections::BTreeMap;
+
+use kv_store::{Replica, Revision, Version};
+use rand::Rng as _;
+use stdx::{Name, Rng, rng};
+
+fn version(key: &str, revision: i64, value: Option<u32>) -> Version<u32> {
+    Version { key: key.into(), revision: Revision(revision), value }
+}
+
+fn keys(replica: &Replica<u32>) -> Vec<(String, u32)> {
+    let value = |it: Version<u32>| it.value.map(|value| (it.key.to_string(), value));
+    replica.all().into_iter().filter_map(value).collect()
+}
+
+/// Guards against an instance that goes back to an older state because a relay lags.
+#[test]
+fn an_older_version_changes_nothing() {
+    let mut replica = Replica::default();
+    assert!(replica.apply(Revision(5), vec![version("a", 5, Some(2))]));
+    assert!(!replica.apply(Revision(4), vec![version("a", 4, Some(1))]));
+    assert!(!replica.list(Revision(4), vec![version("a", 4, Some(1))]));
+    assert!(!replica.list(Revision(4), vec![]), "a listing from before the write");
+    assert_eq!(keys(&replica), [("a".to_owned(), 2)]);
+    assert!(replica.apply(Revision(7), vec![version("a", 7, None)]));
+    assert!(!replica.list(Revision(6), vec![version("a", 5, Some(2))]), "it is gone since");
+    assert_eq!(keys(&replica), []);
+}
+
+/// Guards against a change that followers miss because the service told of it only in a later listing.
+#[test]
+fn a_change_that_was_dropped_reaches_followers_under_its_old_revision() {
+    let mut replica = Replica::default();
+    replica.list(Revision(3), vec![version("a", 1, Some(1)), version("b", 2, Some(2))]);
+    replica.apply(Revision(9), vec![]);
+    let seen = replica.changes();
+    replica.list(Revision(9), vec![version("a", 6, Some(3))]);
+    let later = replica.since(seen).expect("remembered");
+    assert_eq!(later, [version("b", 9, None), version("a", 6, Some(3))]);
+    assert_eq!(replica.since(replica.changes()), Some(vec![]));
+    assert_eq!(replica.since(replica.changes() + 1), None, "another copy's count");
+}
+
+/// Guards against memory that grows with each key that ever existed, and against followers that miss a forgotten removal.
+#[test]
+fn removals_are_forgotten_and_followers_from_before_read_everything() {
+    let mut replica = Replica::default();
+    for n in 0..10_000 {
+        let key = format!("k{n}");
+        replica.apply(Revision(2 * n), vec![version(&key, 2 * n, Some(0))]);
+        replica.apply(Revision(2 * n + 1), vec![version(&key, 2 * n + 1, None)]);
+    }
+    assert_eq!(replica.since(1), None);
+    let remembered = replica.since(replica.changes() - 100).expect("remembered").len();
+    assert_eq!(remembered, 50);
+}
+
+/// The service, whose history a source replays with gaps.
+#[derive(Default)]
+struct Service {
+    keys: BTreeMap<String, (i64, u32)>,
+    history: Vec<Version<u32>>,
+}
+
+impl Service {
+    fn change(&mut self, rng: &mut Rng) {
+        let revision = self.history.len() as i64 + 1;
+        let key = format!("k{}", rng.random_range(0..8));
+        let value = rng.random_bool(0.7).then(|| rng.random_range(0..100));
+        match value {
+            Some(value) => drop(self.keys.insert(key.clone(), (revision, value))),
+            None => drop(self.keys.remove(&key)),
+        }
+        self.history.push(Version { key: Name::from(key), revision: Revision(revision), value });
+    }
+
+    fn listing(&self) -> (Revision, Vec<Version<u32>>) {
+        let listed = self.keys.iter().map(|(key, (rev, value))| version(key, *rev, Some(*value)));
+        (Revision(self.history.len() as i64), listed.collect())
+    }
+}
+
+/// Guards against copies that differ for good from the service, or go back, with changes that arrive late, twice, out of order
+/// or only in a listing.
+#[test]
+fn a_copy_that_has_heard_everything_equals_the_service() {
+    bolero::check!().with_type::<u64>().with_iterations(300).for_each(|seed| {
+        let mut rng = rng::seeded(*seed);
+        let mut service = Service::default();
+        let mut replica = Replica::default();
+        let mut follower: Replica<u32> = Replica::default();
+        let mut seen = 0;
+        let mut old = service.listing();
+        for _ in 0..rng.random_range(1..80) {
+            service.change(&mut rng);
+            match rng.random_range(0..5) {
+                0 => old = service.listing(),
+                1 => drop(replica.list(old.0, old.1.clone())),
+                2 => {
+                    let from = rng.random_range(0..service.history.len());
+                    replica.apply(Revision(0), service.history[from..].to_vec());
+                }
+                3 => {
+                    let (revision, listed) = service.listing();
+                    replica.list(revision, listed);
+                }
+                _ => {
+                    let news = replica.since(seen).expect("few removals");
+                    follower.apply(replica.revision(), news);
+                    seen = replica.changes();
+                }
+            }
+        }
+        let (revision, listed) = service.listing();
+        replica.list(revision, listed);
+        follower.apply(replica.revision(), replica.since(seen).expect("few removals"));
+        let expected: Vec<(String, u32)> =
+            service.keys.iter().map(|(key, (_, value))| (key.clone(), *value)).collect();
+        assert_eq!(keys(&replica), expected, "seed {seed}");
+        assert_eq!(keys(&follower), expected, "seed {seed}");
+    });
+}
