--- a/crates/borageshed/src/api/jobs.rs
+++ b/crates/borageshed/src/api/jobs.rs
@@ -2,15 +2,19 @@
 
 use std::{sync::Arc, time::Duration};
 
+use async_std::task;
 use fleet::{BatchTerms, HostRoute, QualifiedName};
 use http_edge::problem::{Execution, Problem, ProblemKind};
 use http_types::{Response, StatusCode};
 use jobs::{
-    Item, ItemResult, JobId, JobRecord, OpenJob, Submission, key::OPEN_PREFIX, model, submission,
+    Item, ItemResult, JobId, JobRecord, OpenJob, Submission, claim, key::OPEN_PREFIX, model,
+    submission,
 };
-use kv_store::{Committed, Entry, Error, Revision};
+use kv_store::{Committed, Entry, Error, Revision, Transaction};
+use peer::{JobAccepted, JobAnswer, JobRequest, JobStatus};
 use platform::{ingress::RequestHints, jobs as wire, jobs::JobCall};
-use slog::info;
+use slog::{debug, info};
+use stdx::Name;
 
 use super::{Request, Result, identity::Identity, read_body};
 use crate::{clock, job_work::index, shared::Shared};
@@ -19,6 +23,8 @@
 const MAX_RESULT_BYTES: usize = 900_000;
 /// The longest time that a caller is kept waiting for another result.
 const MAX_WAIT: Duration = Duration::from_millis(900);
+/// How many daemons are asked about a job: the one that claims it first, and the one that this names.
+const MAX_OWNERS: usize = 2;
 /// How often the end of a job is tried that others change at the same time.
 const MAX_CANCEL_TRIES: u32 = 8;
 /// When a caller should come back that found the store away.
@@ -81,7 +87,10 @@
         "items" => submission.items.len(), "tokens" => submission.tokens(), "outcome" => ?outcome_name(&committed)
     );
     match committed {
-        Committed::Won(_) => Ok(accepted()),
+        Committed::Won(revision) => {
+            hand_over(&cx, &submission.id, revision, transaction);
+            Ok(accepted())
+        }
         // The job exists: this is a resend, unless another account chose the same id.
         Committed::Lost(entries) => match entries.first().and_then(|it| stored(it).ok()) {
             Some(it) if it.record.account() == submission.account => Ok(accepted()),
@@ -99,6 +108,23 @@
     }
 }
 
+/// Gives an accepted job to the daemon that claims it, so that this needs not read what was just written.
+fn hand_over(cx: &Shared, id: &JobId, revision: Revision, transaction: Transaction) {
+    let runners = cx.item_runners();
+    let (Some(peers), Some(owner)) = (cx.peers.get(), claim::first(id, &runners)) else { return };
+    let mut job =
+        JobAccepted { job: id.as_str().to_owned(), revision: revision.0, ..JobAccepted::default() };
+    for write in transaction.writes {
+        let value = write.value.into();
+        match &*write.key {
+            key if *key == *id.record() => job.record = value,
+            key if *key == *id.open() => job.open = value,
+            _ => job.parts.push(value),
+        }
+    }
+    peers.hand_over(owner, job);
+}
+
 /// Answers a call that concerns an accepted job.
 ///
 /// # Errors
@@ -124,39 +150,100 @@
     wait: Duration,
 ) -> Result<Response> {
     let wait = wait.min(MAX_WAIT);
-    let (known, entries) = match known_here(cx, identity, id)? {
-        Some(known) => {
-            cx.known_jobs.wait_beyond(id, after, wait).await;
-            (known, later_results(cx, id, after).await?)
+    let told = ask_owner(cx, identity, id, &Wanted::Results { after, wait }).await?;
+    let (total, results) = match told {
+        Some(told) => (told.total as usize, read_results(told.content.iter().map(|it| &it[..]))?),
+        None => stored_after(cx, identity, id, after, wait).await?,
+    };
+    let mut res = Response::new(StatusCode::Ok);
+    res.set_body(wire::results(total, after, &results));
+    res.insert_header("content-type", "application/json");
+    Ok(res)
+}
+
+/// What the owner of a job is asked for.
+enum Wanted<'a> {
+    Results { after: usize, wait: Duration },
+    Body { item: &'a str },
+}
+
+/// Asks the daemon that runs a job; `None` if none is sure of it, so that the store must tell.
+async fn ask_owner(
+    cx: &Shared,
+    identity: &Identity,
+    id: &JobId,
+    wanted: &Wanted<'_>,
+) -> Result<Option<JobAnswer>> {
+    let Some(peers) = cx.peers.get() else { return Ok(None) };
+    let runners = cx.item_runners();
+    let mut owner = claim::first(id, &runners).cloned();
+    for _ in 0..MAX_OWNERS {
+        let Some(asked) = owner.take() else { return Ok(None) };
+        let job = id.as_str().to_owned();
+        let req = match wanted {
+            Wanted::Results { after, wait } => JobRequest {
+                job,
+                after: u32::try_from(*after).unwrap_or(u32::MAX),
+                wait_ms: wait.as_millis() as u32,
+                ..JobRequest::default()
+            },
+            Wanted::Body { item } => {
+                JobRequest { job, item: (*item).to_owned(), ..JobRequest::default() }
+            }
+        };
+        let Some(answer) = peers.ask_about_job(&asked, req).await else {
+            debug!(cx.log, "owner of a job did not answer"; "job" => id.as_str(), "owner" => %asked);
+            return Ok(None);
+        };
+        if answer.status == i32::from(JobStatus::Known) {
+            let is_own = answer.account == identity.account.name.to_string();
+            return if is_own { Ok(Some(answer)) } else { Err(no_job()) };
         }
-        None => first_read(cx, identity, id, after, wait).await?,
+        owner =
+            (!answer.owner.is_empty() && *answer.owner != *asked).then(|| Name::from(answer.owner));
+    }
+    Ok(None)
+}
+
+/// Reads the results of a job from the store. If there are no others yet, the answer waits, so that the caller does not ask
+/// again at once.
+async fn stored_after(
+    cx: &Shared,
+    identity: &Identity,
+    id: &JobId,
+    after: usize,
+    wait: Duration,
+) -> Result<(usize, Vec<ItemResult>)> {
+    let (known, entries) = match known_here(cx, identity, id)? {
+        Some(known) => (known, later_results(cx, id, after).await?),
+        None => first_read(cx, identity, id, after).await?,
     };
+    if entries.is_empty() && after < known.total {
+        task::sleep(wait).await;
+    }
+    Ok((known.total, read_results(entries.iter().map(|it| &it.value[..]))?))
+}
+
+/// Reads as many results as one answer takes.
+fn read_results<'a>(stored: impl Iterator<Item = &'a [u8]>) -> Result<Vec<ItemResult>> {
     let mut results: Vec<ItemResult> = Vec::new();
     let mut bytes = 0;
-    for entry in entries {
-        bytes += entry.value.len();
+    for value in stored {
+        bytes += value.len();
         if !results.is_empty() && bytes > MAX_RESULT_BYTES {
             break;
         }
-        results.push(serde_json::from_slice(&entry.value).map_err(|e| damaged(&entry.key, &e))?);
+        results.push(serde_json::from_slice(value).map_err(|e| damaged("of a result", &e))?);
     }
-    cx.known_jobs.note_listed(id, after + results.len());
-    let mut res = Response::new(StatusCode::Ok);
-    res.set_body(wire::results(known.total, after, &results));
-    res.insert_header("content-type", "application/json");
-    Ok(res)
+    Ok(results)
 }
 
 /// Reads the record of a job together with its results in one call of the store.
-///
-/// Results that exist are answered at once. If there are none, the answer tells what stood when they were read, unless
-/// the owner announces more in the meantime.
 async fn first_read(
     cx: &Shared,
     identity: &Identity,
     id: &JobId,
     after: usize,
-    wait: Duration,
 ) -> Result<(Arc<JobRecord>, Vec<Entry>)> {
     let page = cx.store.page(&id.progress(), None, usize::MAX).await.map_err(store_problem)?;
     cx.platform_answered();
@@ -164,11 +251,8 @@
     let entry = entries.next().filter(|it| *it.key == id.record()).ok_or_else(no_job)?;
     let record = Arc::new(owned_by(identity, stored(&entry).map_err(store_problem)?)?.record);
     cx.known_jobs.keep_record(id, &record);
-    cx.known_jobs.note_listed(id, entries.len());
     let later: Vec<_> = entries.skip(after).collect();
-    let is_incomplete =
-        later.is_empty() && (page.more || cx.known_jobs.wait_beyond(id, after, wait).await);
-    match is_incomplete {
+    match later.is_empty() && page.more {
         true => Ok((record, later_results(cx, id, after).await?)),
         false => Ok((record, later)),
     }
@@ -181,6 +265,13 @@
 }
 
 async fn body(cx: &Shared, identity: &Identity, id: &JobId, item: &str) -> Result<Response> {
+    if let Some(told) = ask_owner(cx, identity, id, &Wanted::Body { item }).await?
+        && let Some(body) = told.content.first()
+    {
+        let mut res = Response::new(StatusCode::Ok);
+        res.set_body(&body[..]);
+        return Ok(res);
+    }
     let known = known(cx, identity, id).await?;
     let items = match cx.known_jobs.items(id) {
         Some(items) => items,
--- a/crates/borageshed/src/batch_work/driver.rs
+++ b/crates/borageshed/src/batch_work/driver.rs
@@ -275,7 +275,7 @@
 
     /// Starts an item of a segment and returns whether another one may follow.
     fn start_item(&mut self, now: Now, id: u64, in_force: &InForce) -> bool {
-        let daemons = self.peers.up() + 1;
+        let daemons = self.peers.known() + 1;
         let Some(slot) = self.slots.get_mut(&id) else { return false };
         if now.mono < slot.paused_until || slot.runner.phase() != Phase::Active {
             return false;
--- a/crates/borageshed/src/clock.rs
+++ b/crates/borageshed/src/clock.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
 use stdx::Timestamp;
 
 /// A clock that starts at zero when the process starts.
@@ -22,6 +23,15 @@
     }
 }
 
+/// Returns the time since the machine started, which goes on while the machine is suspended, unlike [`Clock::now`].
+pub fn since_boot() -> Timestamp {
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(time) => Timestamp::ZERO + Duration::from(time),
+        // The system call takes any clock that this kernel has, and every one has this.
+        Err(_) => Timestamp::ZERO,
+    }
+}
+
 /// Returns the seconds since 1970 by the wall clock, which only appears in answers and deadlines of jobs.
 pub fn unix_seconds() -> u64 {
     since_epoch().as_secs()
--- a/crates/borageshed/src/config_sync.rs
+++ b/crates/borageshed/src/config_sync.rs
@@ -43,7 +43,7 @@
             if let Err(e) = read_from_store(&cx).await {
                 debug!(cx.log, "configuration not read"; "error" => %e);
             }
-            next_read = cx.clock.now() + poll_interval(peers.up());
+            next_read = cx.clock.now() + poll_interval(peers.known());
         }
         let pause = task::sleep(next_read.since(cx.clock.now()));
         match select(Box::pin(news.recv()), Box::pin(pause)).await {
@@ -134,8 +134,8 @@
     stored.map(|it| it.chunks.clone()).unwrap_or_default()
 }
 
-fn poll_interval(peers_up: usize) -> Duration {
-    let daemons = u32::try_from(peers_up + 1).unwrap_or(u32::MAX);
+fn poll_interval(others: usize) -> Duration {
+    let daemons = u32::try_from(others + 1).unwrap_or(u32::MAX);
     let mean =
         FLEET_POLL_INTERVAL.saturating_mul(daemons).clamp(MIN_POLL_INTERVAL, MAX_POLL_INTERVAL);
     mean.mul_f64(rand::rng().random_range(0.8..1.2))
--- a/crates/borageshed/src/control/event.rs
+++ b/crates/borageshed/src/control/event.rs
@@ -8,7 +8,7 @@
     rate::{AccountId, RateMessage},
     slots::{SlotOutcome, SlotRecord, StoredSlot},
 };
-use stdx::Name;
+use stdx::{Name, value_type};
 
 use super::Directive;
 use crate::status::{ControlStatus, LoadStatus};
@@ -24,6 +24,16 @@
     pub reply: async_channel::Sender<Directive>,
 }
 
+value_type! {
+    /// A daemon that admits callers.
+    pub struct Admitting {
+        /// Its failure domain.
+        pub failure_domain: Name,
+        /// The processor share of its instance in thousandths of a core.
+        pub capacity: u32,
+    }
+}
+
 /// Something that the control thread must know.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -75,8 +85,8 @@
     },
     /// The registered daemons changed.
     Members {
-        /// Those that admit callers, with their failure domains.
-        admitting: BTreeMap<Name, Name>,
+        /// Those that admit callers.
+        admitting: BTreeMap<Name, Admitting>,
     },
     /// The registered targets changed; they replace those of the document.
     Registry {
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -15,7 +15,7 @@
 use slog::{Logger, debug, info, warn};
 use stdx::{Name, Timestamp, rng};
 
-use super::{ControlConfig, ControlEvent, Directive, Effect, RateRefusal, Ticket};
+use super::{Admitting, ControlConfig, ControlEvent, Directive, Effect, RateRefusal, Ticket};
 use crate::status::{ControlStatus, LoadStatus, ServiceStatus};
 
 /// The longest pause between two ticks; queue deadlines, probes and slots are checked this often.
@@ -34,8 +34,8 @@
     /// Requests that the dispatcher holds.
     open: HashMap<u64, async_channel::Sender<Directive>>,
     document: Option<Arc<Document>>,
-    /// The registered daemons that admit callers, with their failure domains.
-    admitting: BTreeMap<Name, Name>,
+    /// The registered daemons that admit callers.
+    admitting: BTreeMap<Name, Admitting>,
     /// The registered targets by service, where they replace those of the document.
     registry: Option<BTreeMap<QualifiedName, Vec<dispatch::TargetInfo>>>,
     peers_up: BTreeSet<Name>,
@@ -329,11 +329,12 @@
         self.perform(actions);
     }
 
-    /// Returns the instances that admit callers, with their failure domains.
-    fn admitting_instances(&self) -> BTreeMap<Name, Name> {
+    /// Returns the instances that admit callers.
+    fn admitting_instances(&self) -> BTreeMap<Name, Admitting> {
         let mut admitting = self.admitting.clone();
         if self.cfg.admits_callers {
-            admitting.insert(self.cfg.instance.clone(), self.cfg.failure_domain.clone());
+            let (failure_domain, capacity) = (self.cfg.failure_domain.clone(), self.cfg.capacity);
+            admitting.insert(self.cfg.instance.clone(), Admitting { failure_domain, capacity });
         }
         // A peer that shuts down releases its slots and sends no more requests at once, while the list lags.
         admitting.retain(|it, _| !self.peers_leaving.contains(it));
@@ -342,7 +343,7 @@
 
     fn tell_admitting(&mut self, now: Timestamp) {
         let admitting = self.admitting_instances().into_iter();
-        let near = admitting.filter(|(_, domain)| *domain == self.cfg.failure_domain);
+        let near = admitting.filter(|(_, it)| it.failure_domain == self.cfg.failure_domain);
         let instances = near.map(|(instance, _)| instance).collect();
         self.dispatch_event(now, dispatch::Event::AdmittingInstances(instances));
     }
@@ -353,7 +354,12 @@
         }
         let admitting = self.admitting_instances();
         let Some(rate) = &mut self.rate else { return };
-        for action in rate.slots.tick(now, &slots::holders(&admitting)) {
+        let candidates = admitting.iter().map(|(name, it)| slots::Candidate {
+            name,
+            failure_domain: &it.failure_domain,
+            capacity: it.capacity,
+        });
+        for action in rate.slots.tick(now, &slots::holders(candidates)) {
             self.effect(Effect::Slot(action));
         }
     }
--- a/crates/borageshed/src/control/thread.rs
+++ b/crates/borageshed/src/control/thread.rs
@@ -28,6 +28,8 @@
     pub incarnation: u64,
     /// The failure domain of this instance.
     pub failure_domain: Name,
+    /// The processor share of this instance in thousandths of a core.
+    pub capacity: u32,
     /// Whether this instance takes a share of every account's rate, because it admits requests of callers.
     pub admits_callers: bool,
     /// The bytes per second that loans between instances may take.
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -61,6 +61,7 @@
         instance: settings.instance.clone(),
         incarnation,
         failure_domain: settings.failure_domain.clone(),
+        capacity: peers::millicores(settings.cpu_share),
         admits_callers: settings.listen.is_some(),
         loan_bytes_per_s: loan_bytes_per_s(&settings),
         head_start: Duration::from_millis(settings.rate_allowance.head_start_ms),
@@ -110,6 +111,8 @@
     let peers = Peers::start(&cx, news_tx)
         .await
         .with_context(|| format!("cannot listen on peer_listen {}", cx.settings.peer_listen))?;
+    // This is the only place that sets them.
+    let _ = cx.peers.set(peers.clone());
     task::spawn(peers::run(Arc::clone(&cx), peers.clone()));
     task::spawn(effects::run(Arc::clone(&cx), peers.clone(), effects));
     task::spawn(effects::load_verdicts(Arc::clone(&cx)));
--- a/crates/borageshed/src/effects.rs
+++ b/crates/borageshed/src/effects.rs
@@ -26,10 +26,12 @@
 const VERDICT_TTL: Duration = Duration::from_secs(3_600);
 /// The pause before stored verdicts are read again after a failure.
 const VERDICTS_RETRY: Duration = Duration::from_secs(2);
+/// How long a read through relays may take.
+const SHARED_READ_LIMIT: Duration = Duration::from_secs(3);
 /// The prefix of the slot records.
-const SLOTS_PREFIX: &str = "slots/";
+pub const SLOTS_PREFIX: &str = "slots/";
 /// The prefix of the poison verdicts.
-const POISON_PREFIX: &str = "poison/";
+pub const POISON_PREFIX: &str = "poison/";
 
 /// Performs effects until the control thread ends.
 pub async fn run(cx: Arc<Shared>, peers: Peers, effects: async_channel::Receiver<Effect>) {
@@ -120,10 +122,9 @@
 /// Reads the stored verdicts once, as soon as the platform's service answers: they outlive the instance that gave them.
 pub async fn load_verdicts(cx: Arc<Shared>) {
     loop {
-        match cx.store.range(POISON_PREFIX).await {
-            Ok(listing) => {
-                let digits =
-                    listing.entries.iter().filter_map(|it| it.key.strip_prefix(POISON_PREFIX));
+        match cx.platform_store().shared_entries(POISON_PREFIX, SHARED_READ_LIMIT).await {
+            Ok(entries) => {
+                let digits = entries.iter().filter_map(|it| it.key.strip_prefix(POISON_PREFIX));
                 for fingerprint in digits.filter_map(parse_fingerprint) {
                     cx.control.send(ControlEvent::Dispatch(Event::PoisonVerdict { fingerprint }));
                 }
@@ -141,15 +142,20 @@
 
 async fn perform_slot(cx: Arc<Shared>, action: SlotAction) {
     match action {
-        SlotAction::ReadAll { read } => match cx.store.range(SLOTS_PREFIX).await {
-            Ok(listing) => {
-                cx.platform_answered();
-                let records: BTreeMap<u32, StoredSlot> =
-                    listing.entries.iter().filter_map(numbered_slot).collect();
-                cx.control.send(ControlEvent::SlotsRead { read, records });
+        SlotAction::ReadAll { read, must_be_current } => {
+            let entries = match must_be_current {
+                true => cx.store.range(SLOTS_PREFIX).await.map(|it| it.entries),
+                false => cx.platform_store().shared_entries(SLOTS_PREFIX, SHARED_READ_LIMIT).await,
+            };
+            match entries {
+                Ok(entries) => {
+                    let records: BTreeMap<u32, StoredSlot> =
+                        entries.iter().filter_map(numbered_slot).collect();
+                    cx.control.send(ControlEvent::SlotsRead { read, records });
+                }
+                Err(e) => debug!(cx.log, "rate slots not read"; "error" => %e),
             }
-            Err(e) => debug!(cx.log, "rate slots not read"; "error" => %e),
-        },
+        }
         SlotAction::CompareAndSwap { slot, expected, record } => {
             let outcome = write_slot(&cx, slot, expected, &record).await;
             info!(cx.log, "rate slot written"; "slot" => slot, "outcome" => ?outcome);
--- a/crates/borageshed/src/job_work/claiming.rs
+++ b/crates/borageshed/src/job_work/claiming.rs
@@ -1,11 +1,71 @@
 //! Claims a job and reads what is stored of it.
 
-use jobs::{JobId, JobRecord, JobRun, claim, model};
+use std::sync::Arc;
+
+use jobs::{Item, JobId, JobRecord, JobRun, OpenJob, claim, model};
 use kv_store::{Committed, LeaseId, Revision};
+use peer::JobAccepted;
 use stdx::Name;
 
 use crate::shared::Shared;
 
+/// A job as whoever accepted it has handed it over.
+#[derive(Debug)]
+pub struct Handed {
+    /// The id of the job.
+    pub id: JobId,
+    /// Its entry in the index of unfinished jobs.
+    pub open: OpenJob,
+    record: JobRecord,
+    revision: Revision,
+    items: Vec<Item>,
+}
+
+impl Handed {
+    /// Reads a job that was handed over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value is not what is stored of a job.
+    pub fn read(job: &JobAccepted) -> serde_json::Result<Self> {
+        let Some(id) = JobId::parse(&job.job) else {
+            return Err(serde::de::Error::custom("the id is not valid"));
+        };
+        let mut items = Vec::new();
+        for part in &job.parts {
+            items.extend(model::items_of_part(part)?);
+        }
+        Ok(Self {
+            id,
+            open: serde_json::from_slice(&job.open)?,
+            record: serde_json::from_slice(&job.record)?,
+            revision: Revision(job.revision),
+            items,
+        })
+    }
+}
+
+/// Claims a job that was handed over; if it has changed since, what is stored of it is read.
+///
+/// # Errors
+///
+/// As [`claim`].
+pub async fn claim_handed(
+    cx: &Shared,
+    lease: LeaseId,
+    handed: Handed,
+) -> kv_store::Result<Option<JobRun>> {
+    let Handed { id, open, record, revision, items } = handed;
+    let transaction = claim::transaction(&id, &cx.settings.instance, lease);
+    match cx.store.commit(&transaction.expect(id.record(), revision)).await? {
+        Committed::Won(_) => {
+            Ok(Some(JobRun::new(id, record, revision, open.route, items, Vec::new())))
+        }
+        Committed::Lost(_) => claim(cx, &id, lease, open.route).await,
+        Committed::Unknown => Err(unconfirmed()),
+    }
+}
+
 /// Claims a job and reads what is stored of it; `None` if somebody else has it or it has ended.
 ///
 /// # Errors
@@ -23,13 +83,15 @@
         // An earlier call made the claim, and the job could not be read then.
         Committed::Lost(entries) if entries.iter().any(|it| is_own_claim(cx, it, lease)) => {}
         Committed::Lost(_) => return Ok(None),
-        Committed::Unknown => {
-            return Err(kv_store::Error::AnswerLost("the claim is not confirmed".to_owned()));
-        }
+        Committed::Unknown => return Err(unconfirmed()),
     }
     load_job(cx, id, route).await
 }
 
+fn unconfirmed() -> kv_store::Error {
+    kv_store::Error::AnswerLost("the claim is not confirmed".to_owned())
+}
+
 fn is_own_claim(cx: &Shared, entry: &kv_store::Entry, lease: LeaseId) -> bool {
     entry.lease == Some(lease) && entry.value == cx.settings.instance.as_bytes()
 }
@@ -48,6 +110,21 @@
     for part in cx.store.range(&id.parts()).await?.entries {
         items.extend(model::items_of_part(&part.value).map_err(|e| damaged(&part.key, e))?);
     }
+    let stored = match record.listed.is_empty() {
+        true => Vec::new(),
+        false => stored_results(cx, id, record.listed.len()).await?,
+    };
     let revision: Revision = entry.mod_revision;
-    Ok(Some(JobRun::new(id.clone(), record, revision, route, items)))
+    Ok(Some(JobRun::new(id.clone(), record, revision, route, items, stored)))
+}
+
+/// Reads the results that the record lists.
+async fn stored_results(cx: &Shared, id: &JobId, count: usize) -> kv_store::Result<Vec<Arc<[u8]>>> {
+    let listing = cx.store.range(&id.results()).await?;
+    let stored: Vec<Arc<[u8]>> =
+        listing.entries.iter().take(count).map(|it| Arc::from(it.value.as_slice())).collect();
+    match stored.len() == count {
+        true => Ok(stored),
+        false => Err(kv_store::Error::Protocol(format!("{} lacks stored results", id.results()))),
+    }
 }
--- a/crates/borageshed/src/job_work/index.rs
+++ b/crates/borageshed/src/job_work/index.rs
@@ -2,18 +2,17 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use async_std::{future::timeout, task};
 use jobs::{JobId, OpenJob, key::FOLLOWED_PREFIX};
-use kv_store::WatchEvent;
-use slog::warn;
+use platform::mirror::{EntryChange, Pace};
+use slog::{info, warn};
 use stdx::Name;
 
 use crate::shared::Shared;
 
-/// The pause before the index is read again after a failure.
-const RETRY: Duration = Duration::from_millis(300);
-/// How often the index is read again, in case the service has dropped a change that a watch should have shown.
-const REREAD: Duration = Duration::from_secs(6);
+/// How the index is followed. Whoever accepts a job tells the daemon that claims it; a job that has ended must be stopped
+/// within 3 s.
+const PACE: Pace =
+    Pace { wait: Duration::from_secs(15), max_gathering: Duration::from_millis(1_200) };
 
 /// A change of the index or of the claims.
 #[derive(Debug)]
@@ -37,46 +36,34 @@
 
 /// Follows the index of unfinished jobs and the claims until `on_change` returns `false`.
 pub async fn follow(cx: Arc<Shared>, on_change: impl Fn(IndexChange) -> bool) {
-    loop {
-        match follow_once(&cx, &on_change).await {
-            Ok(true) => {}
-            Ok(false) => return,
-            Err(e) => {
-                warn!(cx.log, "index of jobs not read"; "error" => %e);
-                task::sleep(RETRY).await;
-            }
-        }
-    }
-}
-
-/// Follows the index until it should be read again; `false` if nobody wants to know more.
-async fn follow_once(
-    cx: &Shared,
-    on_change: impl Fn(IndexChange) -> bool,
-) -> kv_store::Result<bool> {
-    let listing = cx.store.range(FOLLOWED_PREFIX).await?;
-    cx.platform_answered();
-    let open = listing.entries.iter().filter_map(|it| open_job(cx, it)).collect();
-    let claimed = listing.entries.iter().filter_map(claim).collect();
-    if !on_change(IndexChange::Listed { open, claimed }) {
-        return Ok(false);
-    }
-    let changes = cx.store.watch(FOLLOWED_PREFIX, listing.revision.next());
-    let until = cx.clock.now() + REREAD;
-    loop {
-        let next = changes.next();
-        let Ok(event) = timeout(until.since(cx.clock.now()), next).await else { return Ok(true) };
-        let change = match event {
-            Some(WatchEvent::Put(entry)) => written(cx, &entry),
-            Some(WatchEvent::Delete { key, .. }) => removed(&key),
-            Some(WatchEvent::Reset) | None => return Ok(true),
-        };
-        if let Some(change) = change
-            && !on_change(change)
-        {
-            return Ok(false);
-        }
-    }
+    let store = cx.platform_store().clone();
+    store
+        .follow_entries(FOLLOWED_PREFIX, PACE, |change| {
+            let change = match change {
+                EntryChange::Listed(entries) => {
+                    let open = entries.iter().filter_map(|it| open_job(&cx, it)).collect();
+                    let claimed = entries.iter().filter_map(claim).collect();
+                    Some(IndexChange::Listed { open, claimed })
+                }
+                EntryChange::Written(entry) => written(&cx, &entry),
+                EntryChange::Removed(key) => removed(&key),
+                EntryChange::Damaged(e) => {
+                    warn!(cx.log, "index entry of a job cannot be read"; "error" => %e);
+                    None
+                }
+                EntryChange::Lost(e) => {
+                    warn!(cx.log, "index of jobs not read"; "error" => %e);
+                    None
+                }
+                EntryChange::Regained => {
+                    info!(cx.log, "index of jobs read again");
+                    None
+                }
+            };
+            cx.platform_answered();
+            change.is_none_or(&on_change)
+        })
+        .await;
 }
 
 fn written(cx: &Shared, entry: &kv_store::Entry) -> Option<IndexChange> {
--- a/crates/borageshed/src/job_work/lease.rs
+++ b/crates/borageshed/src/job_work/lease.rs
@@ -5,11 +5,14 @@
 use async_std::task;
 use kv_store::LeaseId;
 use slog::{debug, info};
+use stdx::Timestamp;
 
-use crate::{leases, shared::Shared};
+use crate::{clock, leases, shared::Shared};
 
 /// The time to live; the jobs of a daemon that is lost are taken over after it.
 const TTL: Duration = Duration::from_secs(4);
+/// How long after a renewal was sent nobody else can have taken jobs over; clocks may differ in speed by some percent.
+const SURE_TIME: Duration = Duration::from_millis(3_700);
 /// How often the lease is renewed; one renewal may be lost.
 const RENEWAL: Duration = Duration::from_millis(1_300);
 /// The pause after a failed call.
@@ -20,6 +23,8 @@
 pub enum LeaseEvent {
     /// A lease was granted.
     Granted(LeaseId),
+    /// The lease holds until then at least, by [`clock::since_boot`].
+    HoldsUntil(Timestamp),
     /// The lease is gone; whatever was claimed under it may be taken over.
     Lost,
 }
@@ -27,6 +32,7 @@
 /// Keeps a lease until the daemon drains.
 pub async fn run(cx: Arc<Shared>, events: async_channel::Sender<LeaseEvent>) {
     while !cx.draining.is_set() && !cx.retiring.is_set() {
+        let asked_at = clock::since_boot();
         let lease = match cx.store.lease_grant(TTL).await {
             Ok(lease) => lease,
             Err(e) => {
@@ -36,12 +42,19 @@
             }
         };
         info!(cx.log, "lease granted"; "lease" => lease.0);
-        if events.send(LeaseEvent::Granted(lease)).await.is_err() {
+        let holds_until = |asked_at: Timestamp| LeaseEvent::HoldsUntil(asked_at + SURE_TIME);
+        if events.send(LeaseEvent::Granted(lease)).await.is_err()
+            || events.send(holds_until(asked_at)).await.is_err()
+        {
             return;
         }
         // A service that does not answer says nothing about the lease, so claimed jobs go on during an outage. Their results
         // are stored by compare-and-swap, which fails if another daemon has taken the job over.
-        leases::keep(&cx, lease, RENEWAL, "claims").await;
+        leases::keep(&cx, lease, RENEWAL, "claims", |asked_at| {
+            // The worker may have ended.
+            let _ = events.try_send(holds_until(asked_at));
+        })
+        .await;
         if events.send(LeaseEvent::Lost).await.is_err() {
             return;
         }
--- a/crates/borageshed/src/job_work/mod.rs
+++ b/crates/borageshed/src/job_work/mod.rs
@@ -5,11 +5,13 @@
 //! - [`claiming`]: claims a job and reads it.
 //! - [`item`]: runs one item through the same dispatcher as online requests.
 //! - [`lease`]: the lease under which jobs are claimed.
+//! - [`readers`]: what the owner of a job tells those that serve its callers.
 
 pub mod claiming;
 pub mod index;
 pub mod item;
 pub mod lease;
+pub mod readers;
 pub mod worker;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/borageshed/src/job_work/readers.rs
@@ -0,0 +1,180 @@
+//! What a daemon that runs a job tells those that serve its callers, so that these need not read the store.
+//!
+//! Results that are stored never change, so the owner may tell of them as long as nobody else can have stored others: while
+//! its lease surely holds, or once the job has ended.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use jobs::{JobId, JobRun};
+use peer::{JobAnswer, JobRequest, JobStatus};
+use stdx::{Name, Timestamp};
+
+/// How long a question waits for the claim of a job that has just been accepted.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(700);
+/// The longest time that a question waits for another result.
+const MAX_WAIT: Duration = Duration::from_millis(900);
+/// Questions that wait; further ones are answered at once.
+const MAX_WAITING: usize = 1_024;
+/// Bytes of results in one answer, which is passed on in one frame.
+const MAX_ANSWER_BYTES: usize = 256 << 10;
+/// Bytes of the results and items of ended jobs that are kept.
+const MAX_ENDED_BYTES: usize = 16 << 20;
+
+/// A question about a job.
+#[derive(Debug)]
+pub struct Question {
+    /// The daemon that asks.
+    pub from: Name,
+    /// What it asks.
+    pub req: JobRequest,
+}
+
+/// An answer, and to whom it goes.
+#[derive(Debug)]
+pub struct Reply {
+    /// The daemon that asked.
+    pub to: Name,
+    /// The answer.
+    pub answer: JobAnswer,
+}
+
+/// What the daemon knows of the jobs that are asked for.
+pub struct Known<'a> {
+    /// The job, if this daemon runs it under a claim that surely holds.
+    pub owned: Option<&'a JobRun>,
+    /// The daemon that has claimed the job.
+    pub owner: Option<&'a Name>,
+    /// Whether the job may be claimed here soon.
+    pub is_to_be_claimed: bool,
+}
+
+/// The questions that wait, and the ended jobs.
+#[derive(Debug, Default)]
+pub struct Readers {
+    waiting: Vec<Waiting>,
+    ended: BTreeMap<JobId, JobRun>,
+    /// The ended jobs in the order of their ends.
+    order: VecDeque<JobId>,
+    ended_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    question: Question,
+    job: JobId,
+    asked_at: Timestamp,
+}
+
+impl Readers {
+    /// Takes a question. It is answered by the next call of [`Self::answer`], or later.
+    pub fn ask(&mut self, now: Timestamp, question: Question) {
+        if self.waiting.len() >= MAX_WAITING {
+            self.waiting.remove(0);
+        }
+        let Some(job) = JobId::parse(&question.req.job) else { return };
+        self.waiting.push(Waiting { question, job, asked_at: now });
+    }
+
+    /// Keeps a job that has ended with a result for each item.
+    pub fn keep_ended(&mut self, run: JobRun) {
+        let id = run.id().clone();
+        self.ended_bytes += size(&run);
+        if let Some(former) = self.ended.insert(id.clone(), run) {
+            self.ended_bytes -= size(&former);
+        } else {
+            self.order.push_back(id);
+        }
+        while self.ended_bytes > MAX_ENDED_BYTES {
+            let Some(oldest) = self.order.pop_front() else { return };
+            self.ended_bytes -= self.ended.remove(&oldest).map_or(0, |it| size(&it));
+        }
+    }
+
+    /// Returns the answers that can be given now.
+    pub fn answer<'a>(
+        &mut self,
+        now: Timestamp,
+        known: impl Fn(&JobId) -> Known<'a>,
+    ) -> Vec<Reply> {
+        let mut replies = Vec::new();
+        let ended = &self.ended;
+        self.waiting.retain(|it| {
+            let known = known(&it.job);
+            let reply = match known.owned.or_else(|| ended.get(&it.job)) {
+                Some(run) => it.answer_of(now, run),
+                None => it.answer_without_job(now, &known),
+            };
+            let is_answered = reply.is_some();
+            replies.extend(reply.map(|answer| Reply { to: it.question.from.clone(), answer }));
+            !is_answered
+        });
+        replies
+    }
+
+    /// Returns when a question should be looked at again at the latest.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+}
+
+impl Waiting {
+    fn answer_of(&self, now: Timestamp, run: &JobRun) -> Option<JobAnswer> {
+        let req = &self.question.req;
+        if !req.item.is_empty() {
+            let item = run.items().iter().find(|it| *it.id == *req.item);
+            let body = item.map(|it| it.body.0.clone().into());
+            return Some(self.known(run, body.into_iter().collect()));
+        }
+        let results = run.results_from(req.after as usize);
+        let wait = Duration::from_millis(u64::from(req.wait_ms)).min(MAX_WAIT);
+        let may_wait = !run.is_ended() && now.since(self.asked_at) < wait;
+        if results.is_empty() && may_wait {
+            return None;
+        }
+        let mut bytes = 0;
+        let fitting = results.iter().take_while(|it| {
+            bytes += it.len();
+            bytes <= MAX_ANSWER_BYTES
+        });
+        let content: Vec<_> = fitting.map(|it| bytes::Bytes::copy_from_slice(it)).collect();
+        match content.is_empty() && !results.is_empty() {
+            // Too large for a frame.
+            true => Some(self.unsure(None)),
+            false => Some(self.known(run, content)),
+        }
+    }
+
+    fn answer_without_job(&self, now: Timestamp, known: &Known<'_>) -> Option<JobAnswer> {
+        let may_come = known.is_to_be_claimed && now.since(self.asked_at) < CLAIM_PATIENCE;
+        (!may_come).then(|| self.unsure(known.owner))
+    }
+
+    fn known(&self, run: &JobRun, content: Vec<bytes::Bytes>) -> JobAnswer {
+        JobAnswer {
+            id: self.question.req.id,
+            status: JobStatus::Known.into(),
+            owner: String::new(),
+            account: run.record().account().to_string(),
+            total: run.record().total as u32,
+            content,
+        }
+    }
+
+    fn unsure(&self, owner: Option<&Name>) -> JobAnswer {
+        JobAnswer {
+            id: self.question.req.id,
+            status: JobStatus::Unsure.into(),
+            owner: owner.map(ToString::to_string).unwrap_or_default(),
+            ..JobAnswer::default()
+        }
+    }
+}
+
+fn size(run: &JobRun) -> usize {
+    let results: usize = run.results_from(0).iter().map(|it| it.len()).sum();
+    let items: usize = run.items().iter().map(|it| it.body.0.len()).sum();
+    results + items
+}
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -15,14 +15,15 @@
 };
 use kv_store::{Committed, LeaseId};
 use policy::dispatch::Class;
-use slog::{debug, info};
+use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
 
 use super::{
-    claiming,
+    claiming::{self, Handed},
     index::{self, IndexChange},
     item::{self, ItemTerms},
     lease::LeaseEvent,
+    readers::{Known, Question, Readers},
 };
 use crate::{
     clock,
@@ -37,6 +38,8 @@
 const MAX_WAITING: usize = 4;
 /// Items that run or wait at once, which bounds the memory for their output.
 const MAX_ITEMS: usize = 96;
+/// How long a job that the index tells of is left for whoever accepted it to hand it over, which spares reading it.
+const HAND_OVER_TIME: Duration = Duration::from_millis(60);
 /// The pause before a claim is tried again that failed.
 const CLAIM_RETRY: Duration = Duration::from_millis(500);
 /// The least time between two transactions of a job, unless it has all its results: each one costs a call of the store and
@@ -59,6 +62,8 @@
     ItemPlaced,
     ItemEnded { id: JobId, claim: u64, index: usize, ended: Box<item::Ended> },
     Committed { id: JobId, claim: u64, outcome: kv_store::Result<Committed> },
+    Asked(Question),
+    Accepted(Box<Handed>),
     Tick,
 }
 
@@ -67,9 +72,14 @@
     events: async_channel::Sender<Event>,
     peers: Peers,
     lease: Option<LeaseId>,
+    /// Until when the lease surely holds, by the clock that counts the time in which the machine is suspended.
+    lease_holds_until: Timestamp,
+    readers: Readers,
     open: BTreeMap<JobId, OpenJob>,
     /// The jobs that are claimed, with the instance that did.
     claimed: BTreeMap<JobId, Name>,
+    /// The jobs that were handed over and are not claimed yet.
+    handed: BTreeMap<JobId, Handed>,
     /// When to claim the jobs that nobody has claimed.
     claim_at: BTreeMap<JobId, Timestamp>,
     own: HashMap<JobId, OwnJob>,
@@ -128,13 +138,35 @@
             let _ = tx.try_send(Event::Lease(event));
         }
     });
+    let (tx, questions) = (events.clone(), peers.job_questions());
+    task::spawn(async move {
+        while let Ok(question) = questions.recv().await {
+            // The worker may have ended.
+            let _ = tx.try_send(Event::Asked(question));
+        }
+    });
+    let (log, tx, jobs) = (cx.log.clone(), events.clone(), peers.accepted_jobs());
+    task::spawn(async move {
+        while let Ok(job) = jobs.recv().await {
+            match Handed::read(&job) {
+                // The worker may have ended.
+                Ok(handed) => drop(tx.try_send(Event::Accepted(Box::new(handed)))),
+                Err(e) => {
+                    warn!(log, "job that was handed over cannot be read"; "job" => job.job, "error" => %e)
+                }
+            }
+        }
+    });
     let mut worker = Worker {
         cx,
         events,
         peers,
         lease: None,
+        lease_holds_until: Timestamp::ZERO,
+        readers: Readers::default(),
         open: BTreeMap::new(),
         claimed: BTreeMap::new(),
+        handed: BTreeMap::new(),
         claim_at: BTreeMap::new(),
         own: HashMap::new(),
         claims: 0,
@@ -170,6 +202,7 @@
         match event {
             Event::Index(change) => self.index_changed(change),
             Event::Lease(LeaseEvent::Granted(lease)) => self.lease = Some(lease),
+            Event::Lease(LeaseEvent::HoldsUntil(until)) => self.lease_holds_until = until,
             Event::Lease(LeaseEvent::Lost) => {
                 self.lease = None;
                 let given_up: Vec<JobId> = self.own.keys().cloned().collect();
@@ -187,10 +220,24 @@
                 self.on_item_ended(&id, claim, index, *ended)
             }
             Event::Committed { id, claim, outcome } => self.on_committed(&id, claim, outcome),
+            Event::Accepted(handed) => self.on_accepted(*handed),
+            Event::Asked(question) => self.readers.ask(self.cx.clock.now(), question),
             Event::Tick => self.has_time = self.judge_time(clock::unix_millis()),
         }
     }
 
+    /// Takes a job that was handed over, unless the index has told of it and its end.
+    fn on_accepted(&mut self, handed: Handed) {
+        let (id, open) = (handed.id.clone(), handed.open.clone());
+        if self.own.contains_key(&id) || self.claimed.contains_key(&id) {
+            return;
+        }
+        self.handed.insert(id.clone(), handed);
+        self.open.insert(id.clone(), open);
+        // Whoever hands a job over takes this daemon for the one that claims it first.
+        self.claim_at.insert(id, self.cx.clock.now());
+    }
+
     /// Returns whether all items that wait would end well before they are due.
     fn judge_time(&self, unix_ms: u64) -> bool {
         let waiting = self.own.values().flat_map(|job| job.run.waiting().map(move |it| (job, it)));
@@ -209,6 +256,11 @@
                 self.open = open;
                 self.claimed = claimed;
                 closed.iter().for_each(|it| self.drop_job(it, "job ended"));
+                // A job that was handed over just now may be newer than the listing.
+                self.handed.retain(|it, _| self.claim_at.contains_key(it));
+                for (id, handed) in &self.handed {
+                    self.open.entry(id.clone()).or_insert_with(|| handed.open.clone());
+                }
                 self.claim_at.retain(|it, _| self.open.contains_key(it));
                 for id in self.open.keys().cloned().collect::<Vec<_>>() {
                     self.plan_claim(now, id);
@@ -222,6 +274,7 @@
             IndexChange::Closed(id) => {
                 self.open.remove(&id);
                 self.claim_at.remove(&id);
+                self.handed.remove(&id);
                 if self.own.get(&id).is_some_and(|it| !it.run.is_ended()) {
                     self.drop_job(&id, "job ended");
                 }
@@ -249,7 +302,7 @@
         if is_free {
             let runners = self.cx.item_runners();
             let delay = claim::delay(&id, &self.cx.settings.instance, &runners);
-            self.claim_at.insert(id, now + delay);
+            self.claim_at.insert(id, now + HAND_OVER_TIME + delay);
         }
     }
 
@@ -262,6 +315,29 @@
         }
         self.start_items(now, unix_ms);
         self.commit(now, unix_ms);
+        self.answer_readers(now);
+    }
+
+    /// Answers the daemons that ask about jobs, as far as there is an answer.
+    fn answer_readers(&mut self, now: Timestamp) {
+        if !self.readers.has_waiting() {
+            return;
+        }
+        let holds = clock::since_boot() < self.lease_holds_until;
+        let own_name = &self.cx.settings.instance;
+        let (own, open, claimed) = (&self.own, &self.open, &self.claimed);
+        let replies = self.readers.answer(now, |id| {
+            let owner = claimed.get(id).filter(|it| *it != own_name);
+            Known {
+                owned: own.get(id).filter(|_| holds).map(|it| &it.run),
+                owner,
+                // A job that is not known may have been accepted just now.
+                is_to_be_claimed: owner.is_none() && (open.contains_key(id) || holds),
+            }
+        });
+        for reply in replies {
+            self.peers.answer_about_job(&reply.to, reply.answer);
+        }
     }
 
     fn claim_due(&mut self, now: Timestamp) {
@@ -272,8 +348,13 @@
             self.claim_at.remove(&id);
             let Some(route) = self.open.get(&id).map(|it| it.route.clone()) else { continue };
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
+            let handed = self.handed.remove(&id);
             task::spawn(async move {
-                let event = match claiming::claim(&cx, &id, lease, route).await {
+                let claimed = match handed {
+                    Some(handed) => claiming::claim_handed(&cx, lease, handed).await,
+                    None => claiming::claim(&cx, &id, lease, route).await,
+                };
+                let event = match claimed {
                     Ok(loaded) => Event::Claimed { id, lease, loaded: loaded.map(Box::new) },
                     Err(e) => {
                         debug!(cx.log, "job not claimed"; "job" => id.as_str(), "error" => %e);
@@ -411,11 +492,10 @@
             Ok(Committed::Won(revision)) => {
                 job.run.on_committed(revision);
                 let (listed, total) = (job.run.record().listed.len(), job.run.record().total);
-                self.peers.broadcast_progress(id, listed);
                 info!(self.cx.log, "results stored"; "job" => id.as_str(), "listed" => listed, "items" => total);
                 if job.run.is_ended() {
+                    self.readers.keep_ended(job.run.clone());
                     self.own.remove(id);
-                    self.end_claim(id);
                 }
             }
             Ok(Committed::Lost(_)) => self.lose_job(id, "the job was changed by another"),
@@ -439,15 +519,6 @@
             self.claim_at.insert(id.clone(), self.cx.clock.now() + CLAIM_RETRY);
         }
     }
-
-    fn end_claim(&self, id: &JobId) {
-        let (cx, id) = (Arc::clone(&self.cx), id.clone());
-        task::spawn(async move {
-            if let Err(e) = cx.store.delete(&id.claim(), None).await {
-                debug!(cx.log, "claim not removed; it ends with the lease"; "job" => id.as_str(), "error" => %e);
-            }
-        });
-    }
 }
 
 /// Tells the worker once that an item no longer waits, also if it is stopped before.
--- a/crates/borageshed/src/known_jobs.rs
+++ b/crates/borageshed/src/known_jobs.rs
@@ -3,10 +3,8 @@
 use std::{
     collections::{HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
 };
 
-use event_listener::Event;
 use jobs::{Item, JobId, JobRecord};
 
 /// Records that are kept; each takes some hundred bytes, and a miss costs one read of the store.
@@ -32,10 +30,6 @@
 struct Known {
     record: Arc<JobRecord>,
     items: Option<Arc<[Item]>>,
-    /// The most results that were seen or that an owner told of.
-    listed: usize,
-    /// Wakes those that wait for more results.
-    changed: Event,
 }
 
 impl KnownJobs {
@@ -55,10 +49,7 @@
         if state.jobs.contains_key(id) {
             return;
         }
-        state.jobs.insert(
-            id.clone(),
-            Known { record: Arc::clone(record), items: None, listed: 0, changed: Event::new() },
-        );
+        state.jobs.insert(id.clone(), Known { record: Arc::clone(record), items: None });
         state.order.push_back(id.clone());
         if state.order.len() > MAX_RECORDS {
             state.forget_oldest();
@@ -77,33 +68,6 @@
         }
     }
 
-    /// Notes that a job has at least so many results.
-    pub fn note_listed(&self, id: &JobId, listed: usize) {
-        let mut state = self.lock();
-        let Some(known) = state.jobs.get_mut(id) else { return };
-        if listed > known.listed {
-            known.listed = listed;
-            known.changed.notify(usize::MAX);
-        }
-    }
-
-    /// Waits until a job that had exactly `after` results when they were last seen has more, for a time at most; returns
-    /// whether it is known to have more than `after`.
-    ///
-    /// The wait only spares reads of the store, which alone tells the results.
-    pub async fn wait_beyond(&self, id: &JobId, after: usize, limit: Duration) -> bool {
-        let changed = {
-            let state = self.lock();
-            match state.jobs.get(id) {
-                Some(known) if known.listed == after && after < known.record.total => {
-                    known.changed.listen()
-                }
-                known => return known.is_some_and(|it| it.listed > after),
-            }
-        };
-        async_std::future::timeout(limit, changed).await.is_ok()
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/borageshed/src/leases.rs
+++ b/crates/borageshed/src/leases.rs
@@ -5,13 +5,21 @@
 use async_std::future::timeout;
 use kv_store::{Error, LeaseId};
 use slog::{debug, warn};
+use stdx::Timestamp;
 
-use crate::shared::Shared;
+use crate::{clock, shared::Shared};
 
-/// Renews a lease until it is gone or the daemon drains, and ends it then. `purpose` names what depends on it in the log.
+/// Renews a lease until it is gone or the daemon drains, and ends it then. `purpose` names what depends on it in the log;
+/// `on_renewed` is told when a renewal that took effect was sent, by [`clock::since_boot`].
 ///
 /// A service that does not answer says nothing about the lease, so an outage does not end it here.
-pub async fn keep(cx: &Shared, lease: LeaseId, renewal: Duration, purpose: &'static str) {
+pub async fn keep(
+    cx: &Shared,
+    lease: LeaseId,
+    renewal: Duration,
+    purpose: &'static str,
+    mut on_renewed: impl FnMut(Timestamp),
+) {
     loop {
         if timeout(renewal, cx.draining.wait()).await.is_ok() {
             if let Err(e) = cx.store.lease_revoke(lease).await {
@@ -19,8 +27,12 @@
             }
             return;
         }
+        let sent_at = clock::since_boot();
         match cx.store.lease_keep_alive(lease).await {
-            Ok(_) => cx.platform_answered(),
+            Ok(_) => {
+                cx.platform_answered();
+                on_renewed(sent_at);
+            }
             Err(Error::LeaseGone) => {
                 warn!(cx.log, "lease lapsed"; "purpose" => purpose, "lease" => lease.0);
                 return;
--- a/crates/borageshed/src/membership.rs
+++ b/crates/borageshed/src/membership.rs
@@ -4,14 +4,16 @@
 
 use async_std::task;
 use fleet::{MEMBERS_PREFIX, MemberRecord};
-use kv_store::{Entry, Error, LeaseId, Outcome, Store, WatchEvent};
+use kv_store::{Entry, Error, LeaseId, Outcome, Store};
+use overlay::Member;
+use platform::mirror::{EntryChange, Pace};
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
 
 use crate::{
-    control::ControlEvent,
+    control::{Admitting, ControlEvent},
     leases,
-    peers::{PeerInfo, Peers},
+    peers::{PeerInfo, Peers, millicores},
     shared::Shared,
 };
 
@@ -23,6 +25,8 @@
 /// How long a daemon is dialled after its record is gone: one that starts again while the service is away cannot register,
 /// and is found by those that remember it.
 const REMEMBERED: Duration = Duration::from_secs(120);
+/// How long a daemon of a fleet that starts for the first time waits before it reads who the others are.
+const FRESH_FLEET_WAIT: Duration = Duration::from_secs(1);
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -33,6 +37,7 @@
         failure_domain: cx.settings.failure_domain.clone(),
         admits_callers: cx.settings.listen.is_some(),
         runs_items: cx.settings.batch.enabled,
+        capacity: millicores(cx.settings.cpu_share),
     };
     let value = serde_json::to_vec(&record).expect("a record is plain JSON");
     while !cx.draining.is_set() {
@@ -40,7 +45,7 @@
             Ok(lease) => {
                 info!(cx.log, "daemon registered"; "lease" => lease.0);
                 cx.platform_answered();
-                leases::keep(&cx, lease, RENEWAL, "registration").await;
+                leases::keep(&cx, lease, RENEWAL, "registration", |_| ()).await;
             }
             Err(e) => {
                 debug!(cx.log, "daemon not registered"; "error" => %e);
@@ -75,47 +80,55 @@
 pub async fn follow(cx: Arc<Shared>, peers: Peers) {
     let mut members = BTreeMap::new();
     let mut remembered = Remembered::default();
-    remembered.publish(&cx, &peers, &members);
-    loop {
-        match cx.store.range(MEMBERS_PREFIX).await {
-            Ok(listing) => {
-                cx.platform_answered();
-                members = listing.entries.iter().filter_map(|it| member(&cx, it)).collect();
-                remembered.publish(&cx, &peers, &members);
-                let watch = cx.store.watch(MEMBERS_PREFIX, listing.revision.next());
-                while let Some(event) = watch.next().await {
-                    match event {
-                        WatchEvent::Put(entry) => members.extend(member(&cx, &entry)),
-                        WatchEvent::Delete { key, .. } => {
-                            if let Some(name) = key.strip_prefix(MEMBERS_PREFIX) {
-                                members.remove(name);
-                            }
-                        }
-                        WatchEvent::Reset => break,
+    if cx.settings.peers.is_empty() {
+        if cx.settings.fresh_fleet {
+            task::sleep(FRESH_FLEET_WAIT).await;
+        }
+    } else {
+        remembered.publish(&cx, &peers, &members);
+    }
+    let store = cx.platform_store().clone();
+    store
+        .follow_entries(MEMBERS_PREFIX, Pace::default(), |change| {
+            match change {
+                EntryChange::Listed(entries) => {
+                    members = entries.iter().filter_map(|it| member(&cx, it)).collect();
+                }
+                EntryChange::Written(entry) => members.extend(member(&cx, &entry)),
+                EntryChange::Removed(key) => {
+                    if let Some(name) = key.strip_prefix(MEMBERS_PREFIX) {
+                        members.remove(name);
                     }
-                    remembered.publish(&cx, &peers, &members);
+                }
+                EntryChange::Damaged(e) => {
+                    warn!(cx.log, "record of a daemon cannot be read"; "error" => %e);
+                }
+                EntryChange::Lost(e) => {
+                    warn!(cx.log, "key-value service lost"; "of" => "daemons", "error" => %e);
+                }
+                EntryChange::Regained => {
+                    info!(cx.log, "key-value service regained"; "of" => "daemons");
                 }
             }
-            Err(e) => {
-                debug!(cx.log, "registered daemons not read"; "error" => %e);
-                task::sleep(RETRY).await;
-            }
-        }
-    }
+            remembered.publish(&cx, &peers, &members);
+            true
+        })
+        .await;
 }
 
 fn member(cx: &Shared, entry: &Entry) -> Option<(Name, PeerInfo)> {
     let name = Name::new(entry.key.strip_prefix(MEMBERS_PREFIX)?);
     match serde_json::from_slice::<MemberRecord>(&entry.value) {
         Ok(record) => {
-            let info = PeerInfo {
-                instance: name.clone(),
+            let member = Member {
+                name: name.clone(),
                 failure_domain: record.failure_domain,
-                address: record.address,
-                admits_callers: record.admits_callers,
+                capacity: record.capacity,
                 runs_items: record.runs_items,
+                registered: true,
             };
-            Some((name, info))
+            let (address, admits_callers) = (record.address, record.admits_callers);
+            Some((name, PeerInfo { member, address, admits_callers }))
         }
         Err(e) => {
             warn!(cx.log, "record of a daemon cannot be read"; "key" => %entry.key, "error" => %e);
@@ -138,25 +151,34 @@
             self.daemons.insert(name.clone(), (now, info.clone()));
         }
         self.daemons.retain(|_, (seen, _)| now.since(*seen) < REMEMBERED);
-        let admitting = members.values().filter(|it| it.admits_callers);
-        let admitting = admitting.map(|it| (it.instance.clone(), it.failure_domain.clone()));
-        let runners = members.values().filter(|it| it.runs_items);
-        cx.set_item_runners(runners.map(|it| it.instance.clone()).collect());
+        let admitting = members.values().filter(|it| it.admits_callers).map(|it| {
+            let Member { name, failure_domain, capacity, .. } = &it.member;
+            let admitting =
+                Admitting { failure_domain: failure_domain.clone(), capacity: *capacity };
+            (name.clone(), admitting)
+        });
+        let runners = members.values().filter(|it| it.member.runs_items);
+        cx.set_item_runners(runners.map(|it| it.member.name.clone()).collect());
         let from_settings = cx.settings.peers.iter().map(|peer| {
-            let info = PeerInfo {
-                instance: peer.instance.clone(),
+            let member = Member {
+                name: peer.instance.clone(),
                 failure_domain: peer.failure_domain.clone(),
-                address: peer.address,
-                admits_callers: false,
+                capacity: 0,
                 runs_items: false,
+                registered: false,
             };
+            let info = PeerInfo { member, address: peer.address, admits_callers: false };
             (peer.instance.clone(), info)
         });
         let mut known: BTreeMap<Name, PeerInfo> = from_settings.collect();
-        known.extend(self.daemons.iter().map(|(name, (_, info))| (name.clone(), info.clone())));
+        known.extend(self.daemons.iter().map(|(name, (_, info))| {
+            let mut info = info.clone();
+            info.member.registered = members.contains_key(name);
+            (name.clone(), info)
+        }));
         known.remove(&cx.settings.instance);
         debug!(cx.log, "registered daemons changed"; "daemons" => members.len(), "dialled" => known.len());
-        peers.set(known.into_values().collect());
+        peers.set(cx, known.into_values().collect());
         cx.control.send(ControlEvent::Members { admitting: admitting.collect() });
     }
 }
--- /dev/null
+++ b/crates/borageshed/src/peers/links.rs
@@ -0,0 +1,239 @@
+//! Which daemons this one links with, and through which relay it speaks.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use event_listener::{Event, EventListener};
+use overlay::{
+    Dialler, Frame, Hop, Member, RelayChoice, Role, Router, Topology, View, choice::primary,
+};
+use peer::Peer;
+use stdx::{Name, Timestamp, value_type};
+
+/// How long the peer that should open a link is waited for; its list of daemons may lag.
+const DIALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+value_type! {
+    /// Another daemon.
+    pub struct PeerInfo {
+        /// What the overlay goes by.
+        pub member: Member,
+        /// Where it listens for daemons.
+        pub address: SocketAddr,
+        /// Whether it admits requests of callers.
+        pub admits_callers: bool,
+    }
+}
+
+/// The links as they should be and as they are.
+#[derive(Debug)]
+pub(super) struct Links {
+    state: Mutex<State>,
+    view_changed: Event,
+}
+
+#[derive(Debug)]
+struct State {
+    own: Member,
+    router: Router,
+    choice: RelayChoice,
+    addresses: BTreeMap<Name, SocketAddr>,
+    /// The relays of the own failure domain that are used, linked or not.
+    used: Vec<Name>,
+    /// Since when links have been missing that the peer should open.
+    missing_since: BTreeMap<Name, Timestamp>,
+    /// What the other ends were told of this daemon.
+    told_roles: BTreeMap<Name, Role>,
+    /// The daemons that messages reach.
+    reachable: BTreeSet<Name>,
+    view: View,
+}
+
+/// What follows from a look at the links.
+#[derive(Debug, Default)]
+pub(super) struct Upkeep {
+    /// The peers to which this daemon opens links.
+    pub(super) dialled: Vec<Peer>,
+    /// What to tell the other ends of links.
+    pub(super) roles: Vec<(Name, Role)>,
+    /// The daemons that messages reach from now on, or no longer do.
+    pub(super) reach: Vec<(Name, bool)>,
+}
+
+/// Returns a processor share in thousandths of a core.
+pub fn millicores(cpu_share: f64) -> u32 {
+    (cpu_share * 1_000.0) as u32
+}
+
+impl Links {
+    pub(super) fn new(own: Member) -> Self {
+        let topology = Topology::new(own.clone(), []);
+        let state = State {
+            router: Router::new(own.name.clone(), topology),
+            own,
+            choice: RelayChoice::default(),
+            addresses: BTreeMap::new(),
+            used: Vec::new(),
+            missing_since: BTreeMap::new(),
+            told_roles: BTreeMap::new(),
+            reachable: BTreeSet::new(),
+            view: View::Starting,
+        };
+        Self { state: Mutex::new(state), view_changed: Event::new() }
+    }
+
+    /// Replaces the daemons that are known.
+    pub(super) fn set_peers(&self, peers: Vec<PeerInfo>) {
+        let mut state = self.lock();
+        state.addresses = peers.iter().map(|it| (it.member.name.clone(), it.address)).collect();
+        let members = peers.into_iter().map(|it| it.member);
+        let topology = Topology::new(state.own.clone(), members);
+        state.router.set_topology(topology);
+        if state.view == View::Starting {
+            state.view = View::NoRelays;
+        }
+        drop(state);
+        self.view_changed.notify(usize::MAX);
+    }
+
+    /// Notes that a link opened or closed.
+    pub(super) fn set_link(&self, peer: &Name, up: bool) {
+        let mut state = self.lock();
+        state.router.set_link(peer, up);
+        state.told_roles.remove(peer);
+    }
+
+    /// Notes what the other end of a link says about itself.
+    pub(super) fn set_role(&self, peer: &Name, role: Role) {
+        self.lock().router.set_role(peer, role);
+    }
+
+    /// Looks what is to be done about the links.
+    pub(super) fn upkeep(&self, now: Timestamp) -> Upkeep {
+        let mut state = self.lock();
+        state.choose_relays(now);
+        let view = state.present_view();
+        let is_news = view != state.view;
+        state.view = view;
+        let upkeep = Upkeep {
+            dialled: state.dialled(now),
+            roles: state.new_roles(),
+            reach: state.new_reach(),
+        };
+        drop(state);
+        if is_news {
+            self.view_changed.notify(usize::MAX);
+        }
+        upkeep
+    }
+
+    /// Returns what is known of the relays.
+    pub(super) fn view(&self) -> View {
+        self.lock().view.clone()
+    }
+
+    pub(super) fn view_changed(&self) -> EventListener {
+        self.view_changed.listen()
+    }
+
+    /// Returns the number of the other daemons that are known.
+    pub(super) fn known(&self) -> usize {
+        self.lock().addresses.len()
+    }
+
+    pub(super) fn with_router<T>(&self, look: impl FnOnce(&Router) -> T) -> T {
+        look(&self.lock().router)
+    }
+
+    pub(super) fn receive(&self, from: &Name, frame: Frame) -> Vec<Hop> {
+        self.lock().router.receive(from, frame)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn choose_relays(&mut self, now: Timestamp) {
+        let router = &self.router;
+        self.used = match router.topology().is_mesh() || router.topology().is_relay() {
+            true => Vec::new(),
+            false => {
+                let candidates = router.topology().candidates();
+                self.choice.wanted(now, &candidates, |it| router.is_linked(it))
+            }
+        };
+        let first = primary(&self.own.name, &self.used, |it| router.is_linked(it));
+        self.router.set_primary(first);
+    }
+
+    fn present_view(&self) -> View {
+        let router = &self.router;
+        match self.view {
+            View::Starting => View::Starting,
+            _ if router.topology().is_mesh() => View::NoRelays,
+            _ if router.relays_now() => View::Relay { others: router.relays().cloned().collect() },
+            _ => {
+                let mut relays: Vec<Name> = router.primary().cloned().into_iter().collect();
+                let others = self.used.iter().filter(|it| router.is_linked(it));
+                let others = others.filter(|it| Some(*it) != router.primary());
+                relays.extend(others.cloned());
+                View::User { relays }
+            }
+        }
+    }
+
+    fn dialled(&mut self, now: Timestamp) -> Vec<Peer> {
+        let wanted = self.router.topology().links(&self.used, self.router.relays_now());
+        let mut dialled = Vec::new();
+        let mut missing_since = BTreeMap::new();
+        for (id, dialler) in wanted {
+            let Some(address) = self.addresses.get(&id).copied() else { continue };
+            let is_due = match dialler {
+                Dialler::Own => true,
+                Dialler::Peer if self.router.is_linked(&id) => false,
+                Dialler::Peer => {
+                    let since = self.missing_since.get(&id).copied().unwrap_or(now);
+                    missing_since.insert(id.clone(), since);
+                    now.since(since) >= DIALLER_PATIENCE
+                }
+            };
+            if is_due {
+                dialled.push(Peer { id, address });
+            }
+        }
+        self.missing_since = missing_since;
+        dialled
+    }
+
+    /// Returns the roles that the other ends have not been told; none in a mesh, where nobody relays.
+    fn new_roles(&mut self) -> Vec<(Name, Role)> {
+        let linked: Vec<Name> = self.router.linked().cloned().collect();
+        let mut news = Vec::new();
+        for peer in linked {
+            let role = self.router.role_towards(&peer);
+            let told = self.told_roles.insert(peer.clone(), role).unwrap_or_default();
+            if told != role {
+                news.push((peer, role));
+            }
+        }
+        news
+    }
+
+    fn new_reach(&mut self) -> Vec<(Name, bool)> {
+        let mut reachable: BTreeSet<Name> = self.router.linked().cloned().collect();
+        // Whether a relay reaches another one is not known here; whoever does not answer is passed over.
+        if self.router.relays().next().is_some() {
+            reachable.extend(self.router.topology().relays());
+        }
+        let former = std::mem::replace(&mut self.reachable, reachable);
+        let up = self.reachable.difference(&former).map(|it| (it.clone(), true));
+        let down = former.difference(&self.reachable).map(|it| (it.clone(), false));
+        up.chain(down).collect()
+    }
+}
--- /dev/null
+++ b/crates/borageshed/src/peers/loads.rs
@@ -0,0 +1,233 @@
+//! What daemons tell each other of their requests in flight.
+
+use std::collections::BTreeMap;
+
+use overlay::{
+    Counts, LoadBook, Report, Router,
+    loads::{Part, Sender},
+};
+use peer::{Heartbeat, LoadPart};
+use policy::dispatch::{Event, PeerLoad};
+use stdx::Name;
+
+use crate::{
+    directory::{ServiceId, Table, TargetId, TargetName},
+    status::LoadStatus,
+};
+
+/// Sums over the users of other relays are passed on with every so many of the nearer ones: they matter for requests that
+/// find no room in their own failure domain.
+const FAR_EVERY: u64 = 3;
+
+/// The frames with requests in flight that are due.
+#[derive(Debug, Default)]
+pub(super) struct Outgoing {
+    pub(super) parts: Vec<(Name, Vec<LoadPart>)>,
+}
+
+/// Returns what this daemon reports of itself.
+pub(super) fn own_report(status: &LoadStatus) -> Report {
+    let targets = status.in_flight.iter().map(|it| {
+        let counts = Counts {
+            online: it.online,
+            batch: it.batch,
+            suspects: it.suspects,
+            contending: it.contending,
+            batch_contending: it.batch_contending,
+        };
+        (TargetId::of(&it.service, &it.target).0, counts)
+    });
+    let once = |services: &[fleet::QualifiedName]| {
+        services.iter().map(|it| (ServiceId::of(it).0, 1)).collect()
+    };
+    Report {
+        targets: targets.collect(),
+        waiting: once(&status.waiting),
+        batch_waiting: once(&status.batch_waiting),
+    }
+}
+
+/// Returns the frames for the links of a daemon that is not linked with all others. With `is_urgent`, only those that
+/// decide on batch work are told.
+pub(super) fn outgoing(
+    router: &Router,
+    book: &mut LoadBook,
+    own: (&Name, &Name, &Report),
+    round: u64,
+    is_urgent: bool,
+) -> Outgoing {
+    let (name, failure_domain, report) = own;
+    let part = |report: &Report| Part {
+        origin: name.clone(),
+        failure_domain: failure_domain.clone(),
+        report: report.clone(),
+    };
+    let is_runner = |it: &&Name| router.topology().runs_items(it);
+    if !router.relays_now() {
+        let own_part = vec![to_wire(&part(report))];
+        let runs_items = router.topology().own().runs_items;
+        let peers = router.linked().filter(|it| is_runner(it) || router.is_relay(it));
+        let to_all = peers.filter(|_| runs_items).chain(router.primary().filter(|_| !runs_items));
+        return Outgoing { parts: to_all.map(|it| (it.clone(), own_part.clone())).collect() };
+    }
+    book.retain_users(|it| router.is_subscriber(it));
+    let sum = book.sum(report);
+    let sum_part = vec![to_wire(&part(&sum))];
+    let runners = router.linked().filter(is_runner);
+    let relays = router.relays().filter(|it| !is_runner(it));
+    let mut parts: Vec<_> =
+        runners.chain(relays).map(|it| (it.clone(), sum_part.clone())).collect();
+    if is_urgent {
+        return Outgoing { parts };
+    }
+    let far: Vec<LoadPart> = match round % FAR_EVERY {
+        0 => book.far().map(to_wire).collect(),
+        _ => Vec::new(),
+    };
+    let users = router.subscribers().filter(|it| !is_runner(it) && !router.is_relay(it));
+    for user in users {
+        let near = book.near(user, &sum, name, failure_domain);
+        let near = near.iter().map(to_wire);
+        parts.push((user.clone(), near.chain(far.iter().cloned()).collect()));
+    }
+    Outgoing { parts }
+}
+
+/// Tells from whom a report comes; `None` if nobody reports to this daemon that way.
+pub(super) fn sender(router: &Router, from: &Name) -> Option<Sender> {
+    match router.topology().runs_items(from) {
+        true => Some(Sender::Runner),
+        false if router.is_relay(from) => Some(Sender::Relay),
+        false => router.is_subscriber(from).then_some(Sender::User),
+    }
+}
+
+/// Returns what the dispatcher is told of a part. Targets that are not known here get no requests from here either.
+pub(super) fn event(table: &Table, part: &Part) -> Event {
+    let loads = part.report.targets.iter().filter_map(|(id, counts)| {
+        let TargetName { service, target } = table.target(TargetId(*id))?.clone();
+        Some(PeerLoad {
+            service,
+            target,
+            online: counts.online,
+            batch: counts.batch,
+            suspects: counts.suspects,
+            contending: counts.contending,
+            batch_contending: counts.batch_contending,
+        })
+    });
+    let services = |waiting: &BTreeMap<u64, u32>| {
+        let known = waiting.iter().filter_map(|(id, count)| {
+            let service = table.service(ServiceId(*id))?;
+            Some(std::iter::repeat_n(service.clone(), *count as usize))
+        });
+        known.flatten().collect()
+    };
+    Event::PeerInFlight {
+        peer: part.origin.clone(),
+        failure_domain: part.failure_domain.clone(),
+        loads: loads.collect(),
+        waiting: services(&part.report.waiting),
+        batch_waiting: services(&part.report.batch_waiting),
+    }
+}
+
+/// Returns the heartbeat of a daemon that is linked with all others.
+pub(super) fn heartbeat(revision: u64, report: &Report) -> Heartbeat {
+    let counts = || report.targets.values();
+    let suspects = (0_u32..).zip(counts());
+    let suspects = suspects.flat_map(|(at, it)| std::iter::repeat_n(at, it.suspects as usize));
+    Heartbeat {
+        revision,
+        targets: report.targets.keys().copied().collect(),
+        online: counts().map(|it| it.online).collect(),
+        batch: counts().map(|it| it.batch).collect(),
+        suspects: suspects.collect(),
+        waiting: report.waiting.keys().copied().collect(),
+        batch_waiting: report.batch_waiting.keys().copied().collect(),
+        ..Heartbeat::default()
+    }
+}
+
+/// Reads the heartbeat of a daemon. Whether its requests contend follows from the services for which others wait there.
+pub(super) fn part_of_heartbeat(
+    table: &Table,
+    from: &Name,
+    failure_domain: Name,
+    heartbeat: &Heartbeat,
+) -> Part {
+    let count = |counts: &[u32], at: usize| counts.get(at).copied().unwrap_or(0);
+    let targets = heartbeat.targets.iter().enumerate().map(|(at, id)| {
+        let (online, batch) = (count(&heartbeat.online, at), count(&heartbeat.batch, at));
+        let service = table.target(TargetId(*id)).map(|it| ServiceId::of(&it.service).0);
+        let waits = |services: &[u64]| service.is_some_and(|it| services.contains(&it));
+        let counts = Counts {
+            online,
+            batch,
+            suspects: heartbeat.suspects.iter().filter(|it| **it as usize == at).count() as u32,
+            contending: if waits(&heartbeat.waiting) { online } else { 0 },
+            batch_contending: if waits(&heartbeat.batch_waiting) { batch } else { 0 },
+        };
+        (*id, counts)
+    });
+    let once = |services: &[u64]| services.iter().map(|it| (*it, 1)).collect();
+    let report = Report {
+        targets: targets.collect(),
+        waiting: once(&heartbeat.waiting),
+        batch_waiting: once(&heartbeat.batch_waiting),
+    };
+    Part { origin: from.clone(), failure_domain, report }
+}
+
+fn to_wire(part: &Part) -> LoadPart {
+    let Report { targets, waiting, batch_waiting } = &part.report;
+    // Lists of zeros are left out.
+    let list = |count: fn(&Counts) -> u32| -> Vec<u32> {
+        let counts: Vec<u32> = targets.values().map(count).collect();
+        if counts.iter().all(|it| *it == 0) { Vec::new() } else { counts }
+    };
+    LoadPart {
+        origin: part.origin.to_string(),
+        failure_domain: part.failure_domain.to_string(),
+        targets: targets.keys().copied().collect(),
+        online: list(|it| it.online),
+        batch: list(|it| it.batch),
+        suspects: list(|it| it.suspects),
+        contending: list(|it| it.contending),
+        batch_contending: list(|it| it.batch_contending),
+        waiting: waiting.keys().copied().collect(),
+        waiting_instances: waiting.values().copied().collect(),
+        batch_waiting: batch_waiting.keys().copied().collect(),
+        batch_waiting_instances: batch_waiting.values().copied().collect(),
+    }
+}
+
+pub(super) fn from_wire(part: &LoadPart) -> Part {
+    let count = |counts: &[u32], at: usize| counts.get(at).copied().unwrap_or(0);
+    let targets = part.targets.iter().enumerate().map(|(at, id)| {
+        let counts = Counts {
+            online: count(&part.online, at),
+            batch: count(&part.batch, at),
+            suspects: count(&part.suspects, at),
+            contending: count(&part.contending, at),
+            batch_contending: count(&part.batch_contending, at),
+        };
+        (*id, counts)
+    });
+    let instances = |services: &[u64], counts: &[u32]| {
+        let bounded = |at: usize| count(counts, at).min(MAX_INSTANCES);
+        services.iter().enumerate().map(|(at, id)| (*id, bounded(at))).collect()
+    };
+    Part {
+        origin: Name::new(&part.origin),
+        failure_domain: Name::new(&part.failure_domain),
+        report: Report {
+            targets: targets.collect(),
+            waiting: instances(&part.waiting, &part.waiting_instances),
+            batch_waiting: instances(&part.batch_waiting, &part.batch_waiting_instances),
+        },
+    }
+}
+
+/// More instances than a relay speaks for; a larger count is an error of the sender.
+const MAX_INSTANCES: u32 = 1_024;
--- /dev/null
+++ b/crates/borageshed/src/peers/mod.rs
@@ -0,0 +1,527 @@
+//! What daemons tell each other: requests in flight, loans, configuration, followed keys, verdicts and cancellations.
+//!
+//! - `jobs`: questions to the daemons that run batch jobs.
+//! - `links`: which daemons this one links with, and through which relay it speaks.
+//! - `loads`: what daemons tell each other of their requests in flight.
+//! - `reads`: reads of the key-value service through relays.
+
+mod jobs;
+mod links;
+mod loads;
+mod reads;
+
+use std::{
+    collections::BTreeMap,
+    io,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_std::{future::timeout, task};
+use bytes::Bytes;
+use fleet::revision::{self, Chunks, Head};
+use overlay::{Frame, Hop, LoadBook, Member, Report, Role};
+use peer::{
+    ConfigChunk, ConfigFetch, Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled,
+    JobRequest, Leaving, LinkRole, Loads, Message, PeerEvent, PoisonVerdict, SendError, message,
+};
+use policy::{
+    dispatch::{Claim, Event, Fingerprint, Suspicion},
+    rate::RateMessage,
+};
+use slog::{debug, info, warn};
+use stdx::{Name, Timestamp};
+
+pub use links::{PeerInfo, millicores};
+
+use self::{jobs::JobQuestions, links::Links, reads::Reads};
+use crate::{
+    config_sync::PeerRevision, control::ControlEvent, loans, metrics::PeerLabels, shared::Shared,
+    suspects,
+};
+
+/// How often the heartbeat's contents are renewed.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// The shortest time between two heartbeats that are sent before they are due; a burst needs one to stop batch.
+const MIN_SHARE_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a peer may take to send a part of its configuration.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Events of the links that may wait; a full channel holds the links back.
+const QUEUED_EVENTS: usize = 256;
+
+/// The links to other daemons.
+#[derive(Clone)]
+pub struct Peers {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    hub: Hub,
+    events: async_channel::Receiver<PeerEvent>,
+    news: async_channel::Sender<PeerRevision>,
+    links: Links,
+    reads: Reads,
+    jobs: JobQuestions,
+    /// The last reports of others, which a relay adds up.
+    book: Mutex<LoadBook>,
+    /// Counts the rounds in which requests in flight are told.
+    round: AtomicU64,
+    shared_at: Mutex<Option<Timestamp>>,
+    domains: Mutex<BTreeMap<Name, Name>>,
+    parts: Mutex<BTreeMap<PartKey, async_channel::Sender<ConfigChunk>>>,
+    cancelled: (async_channel::Sender<JobCancelled>, async_channel::Receiver<JobCancelled>),
+}
+
+/// A part of a peer's configuration that a task waits for; an empty digest stands for the head.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct PartKey {
+    peer: Name,
+    digest: Vec<u8>,
+}
+
+impl Peers {
+    /// Listens for other daemons.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(cx: &Shared, news: async_channel::Sender<PeerRevision>) -> io::Result<Self> {
+        let settings = &cx.settings;
+        let cfg = HubConfig::new(
+            settings.instance.clone(),
+            cx.incarnation,
+            settings.failure_domain.clone(),
+            settings.peer_listen,
+        );
+        let (events_tx, events) = async_channel::bounded(QUEUED_EVENTS);
+        let hub = Hub::start(cfg, events_tx).await?;
+        let own = Member {
+            name: settings.instance.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            capacity: millicores(settings.cpu_share),
+            runs_items: settings.batch.enabled,
+            registered: true,
+        };
+        let inner = Inner {
+            hub,
+            events,
+            news,
+            links: Links::new(own),
+            reads: Reads::default(),
+            jobs: JobQuestions::default(),
+            book: Mutex::default(),
+            round: AtomicU64::new(0),
+            shared_at: Mutex::default(),
+            domains: Mutex::default(),
+            parts: Mutex::default(),
+            cancelled: async_channel::unbounded(),
+        };
+        let peers = Self { inner: Arc::new(inner) };
+        peers.share_reads(cx);
+        Ok(peers)
+    }
+
+    /// Replaces the daemons that are known, and links with those that concern this one.
+    pub fn set(&self, cx: &Shared, peers: Vec<PeerInfo>) {
+        self.inner.links.set_peers(peers);
+        self.upkeep(cx);
+    }
+
+    /// Returns the number of the other daemons that are known.
+    pub fn known(&self) -> usize {
+        self.inner.links.known()
+    }
+
+    /// Sends a loan message; one that is lost wastes tokens at most.
+    pub fn send_rate(&self, to: &Name, message: RateMessage) {
+        self.send(Some(to), &loans::to_wire(message));
+    }
+
+    /// Opens and closes links, and tells the other ends and the control thread what has changed about them.
+    fn upkeep(&self, cx: &Shared) {
+        let upkeep = self.inner.links.upkeep(cx.clock.now());
+        self.inner.hub.set_dialled(&upkeep.dialled);
+        for (peer, Role { relays, subscribes }) in upkeep.roles {
+            if subscribes {
+                info!(cx.log, "relay in use"; "peer" => %peer);
+            }
+            // A link that is gone is told of by its end.
+            let _ = self.inner.hub.send(&peer, &Message::LinkRole(LinkRole { relays, subscribes }));
+        }
+        for (peer, up) in upkeep.reach {
+            cx.control.send(ControlEvent::PeerLink { peer, up });
+        }
+    }
+
+    /// Tells every peer the requests in flight, unless that was done just now.
+    pub fn share_load(&self, cx: &Arc<Shared>) {
+        let now = cx.clock.now();
+        let mut shared_at = self.inner.shared_at.lock().unwrap_or_else(PoisonError::into_inner);
+        if shared_at.is_some_and(|at| now.since(at) < MIN_SHARE_INTERVAL) {
+            return;
+        }
+        *shared_at = Some(now);
+        drop(shared_at);
+        let (cx, peers) = (Arc::clone(cx), self.clone());
+        task::spawn(async move {
+            let Some(status) = cx.control.loads().await else { return };
+            let report = loads::own_report(&status);
+            let is_mesh = peers.inner.links.with_router(|it| it.topology().is_mesh());
+            match is_mesh {
+                true => {
+                    let heartbeat = loads::heartbeat(cx.in_force.number(), &report);
+                    let _ = peers.inner.hub.broadcast(&Message::Heartbeat(heartbeat));
+                }
+                false => peers.send_loads(&cx, &report, true),
+            }
+        });
+    }
+
+    /// Tells those that it concerns of the requests in flight here, and as a relay of those that it was told of.
+    fn send_loads(&self, cx: &Shared, report: &Report, is_urgent: bool) {
+        let round = self.inner.round.fetch_add(1, Ordering::Relaxed);
+        let own = (&cx.settings.instance, &cx.settings.failure_domain, report);
+        let mut book = self.book();
+        let outgoing = self
+            .inner
+            .links
+            .with_router(|router| loads::outgoing(router, &mut book, own, round, is_urgent));
+        drop(book);
+        let revision = cx.in_force.number();
+        for (peer, parts) in outgoing.parts {
+            // The next round replaces one that is lost.
+            let loads = Loads { parts, urgent: is_urgent, revision };
+            let _ = self.inner.hub.send(&peer, &Message::Loads(loads));
+        }
+    }
+
+    /// Tells a peer, or every peer, that requests with a fingerprint kill targets.
+    pub fn send_verdict(&self, to: Option<&Name>, fingerprint: &Fingerprint) {
+        let verdict = PoisonVerdict { fingerprint: fingerprint.to_vec().into() };
+        self.send(to, &Message::PoisonVerdict(verdict));
+    }
+
+    /// Tells every peer that a target died while it ran a request.
+    pub fn broadcast_suspicion(&self, suspicion: &Suspicion) {
+        self.send(None, &suspects::suspicion_to_wire(suspicion));
+    }
+
+    /// Tells a peer, or every peer, where a suspect is to run, runs or no longer runs.
+    pub fn send_claim(&self, to: Option<&Name>, claim: &Claim) {
+        self.send(to, &suspects::claim_to_wire(claim));
+    }
+
+    /// Sends a message to one daemon or to all, over as many links as it takes; returns whether it has left for any. It may
+    /// be lost on the way: what matters is repeated.
+    fn send(&self, to: Option<&Name>, message: &Message) -> bool {
+        let Ok(payload) = message::encode(message) else { return false };
+        let frames = self.inner.links.with_router(|router| match to {
+            Some(to) => router.unicast(to, payload).into_iter().collect(),
+            None => router.broadcast(&payload),
+        });
+        let mut has_left = false;
+        for (link, frame) in frames {
+            has_left |= self.send_frame(&link, frame).is_ok();
+        }
+        has_left
+    }
+
+    fn send_frame(&self, link: &Name, frame: Frame) -> Result<(), SendError> {
+        let hub = &self.inner.hub;
+        match frame {
+            Frame::Direct(payload) => hub.send_encoded(link, payload),
+            Frame::Flood { origin, payload } => {
+                hub.send(link, &Message::Flood(Flood { origin: origin.to_string(), payload }))
+            }
+            Frame::Forward { to, origin, payload, hops } => {
+                let (to, origin) = (to.to_string(), origin.to_string());
+                hub.send(link, &Message::Forward(Forward { to, origin, payload, hops }))
+            }
+        }
+    }
+
+    /// Tells every peer that a job was cancelled.
+    pub fn broadcast_cancelled(&self, account: &str, job: &str) {
+        let cancelled = JobCancelled { account: account.to_owned(), job: job.to_owned() };
+        self.send(None, &Message::JobCancelled(cancelled));
+    }
+
+    /// Returns the cancellations that peers report.
+    pub fn cancelled(&self) -> async_channel::Receiver<JobCancelled> {
+        self.inner.cancelled.1.clone()
+    }
+
+    /// Tells every peer that this daemon shuts down.
+    pub fn announce_leaving(&self) {
+        self.send(None, &Message::Leaving(Leaving {}));
+    }
+
+    /// Fetches the configuration that a peer has in force; `None` if it does not send all of it in time.
+    pub async fn fetch_configuration(&self, peer: &Name, known: &Chunks) -> Option<(Head, Chunks)> {
+        let head = self.fetch_part(peer, &[]).await?;
+        let head: Head = serde_json::from_slice(&head).ok()?;
+        let mut chunks = Chunks::new();
+        for digest in head.digests() {
+            let chunk = match known.get(digest) {
+                Some(chunk) => Arc::clone(chunk),
+                None => {
+                    let content =
+                        self.fetch_part(peer, &hex::decode(digest.as_str()).ok()?).await?;
+                    (revision::digest(&content) == *digest)
+                        .then(|| Arc::from(content.as_slice()))?
+                }
+            };
+            chunks.insert(digest.clone(), chunk);
+        }
+        Some((head, chunks))
+    }
+
+    async fn fetch_part(&self, peer: &Name, digest: &[u8]) -> Option<Vec<u8>> {
+        let (tx, rx) = async_channel::bounded(1);
+        let key = PartKey { peer: peer.clone(), digest: digest.to_vec() };
+        self.parts().insert(key.clone(), tx);
+        let digests = if digest.is_empty() { Vec::new() } else { vec![digest.to_vec().into()] };
+        let fetch = Message::ConfigFetch(ConfigFetch { revision: 0, digests });
+        self.send(Some(peer), &fetch);
+        let part = timeout(FETCH_TIMEOUT, rx.recv()).await.ok().and_then(Result::ok);
+        self.parts().remove(&key);
+        part.map(|it| it.content.to_vec())
+    }
+
+    fn parts(
+        &self,
+    ) -> std::sync::MutexGuard<'_, BTreeMap<PartKey, async_channel::Sender<ConfigChunk>>> {
+        self.inner.parts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn book(&self) -> MutexGuard<'_, LoadBook> {
+        self.inner.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn domain_of(&self, peer: &Name) -> Option<Name> {
+        self.inner.domains.lock().unwrap_or_else(PoisonError::into_inner).get(peer).cloned()
+    }
+}
+
+/// Handles what happens on the links and renews the heartbeat, until the daemon ends.
+pub async fn run(cx: Arc<Shared>, peers: Peers) {
+    task::spawn(renew_heartbeat(Arc::clone(&cx), peers.clone()));
+    while let Ok(event) = peers.inner.events.recv().await {
+        match event {
+            PeerEvent::Up { peer, failure_domain, .. } => {
+                let mut domains =
+                    peers.inner.domains.lock().unwrap_or_else(PoisonError::into_inner);
+                domains.insert(peer.clone(), failure_domain);
+                drop(domains);
+                peers.inner.links.set_link(&peer, true);
+                peers.upkeep(&cx);
+            }
+            PeerEvent::Down { peer, reason, .. } => {
+                info!(cx.log, "peer link closed"; "peer" => %peer, "reason" => ?reason);
+                peers.inner.links.set_link(&peer, false);
+                peers.inner.reads.on_link_lost(&peer);
+                peers.inner.jobs.on_link_lost(&peer);
+                peers.book().forget(&peer);
+                peers.upkeep(&cx);
+            }
+            PeerEvent::Message { from, message } => on_link_message(&cx, &peers, from, message),
+        }
+    }
+}
+
+/// Handles a message that concerns the link, or the passing on of others.
+fn on_link_message(cx: &Arc<Shared>, peers: &Peers, from: Name, message: Message) {
+    let frame = match message {
+        Message::LinkRole(LinkRole { relays, subscribes }) => {
+            peers.inner.links.set_role(&from, Role { relays, subscribes });
+            return peers.upkeep(cx);
+        }
+        Message::Loads(loads) => return on_loads(cx, peers, &from, &loads),
+        Message::ReadRequest(req) => return peers.answer_read(cx, from, req),
+        Message::ReadAnswer(answer) => return peers.inner.reads.on_answer(answer),
+        Message::Flood(Flood { origin, payload }) => {
+            Frame::Flood { origin: Name::from(origin), payload }
+        }
+        Message::Forward(Forward { to, origin, payload, hops }) => {
+            Frame::Forward { to: Name::from(to), origin: Name::from(origin), payload, hops }
+        }
+        message => return handle(cx, peers, from, message),
+    };
+    for hop in peers.inner.links.receive(&from, frame) {
+        match hop {
+            Hop::Deliver { origin, payload } => deliver(cx, peers, &from, origin, payload),
+            Hop::Send { link, frame } => {
+                if let Err(e) = peers.send_frame(&link, frame) {
+                    debug!(cx.log, "message not passed on"; "from" => %from, "to" => %link, "error" => %e);
+                }
+            }
+        }
+    }
+}
+
+/// Handles a message that came over more than one link.
+fn deliver(cx: &Shared, peers: &Peers, link: &Name, origin: Name, payload: Bytes) {
+    match message::decode(payload) {
+        Ok(Some(message)) => handle(cx, peers, origin, message),
+        // Only a newer version knows this kind of message.
+        Ok(None) => {}
+        Err(e) => {
+            warn!(cx.log, "message that was passed on cannot be read"; "link" => %link, "origin" => %origin, "error" => %e);
+        }
+    }
+}
+
+fn handle(cx: &Shared, peers: &Peers, from: Name, message: Message) {
+    match message {
+        Message::Heartbeat(heartbeat) => on_heartbeat(cx, peers, &from, &heartbeat),
+        Message::ConfigFetch(fetch) => send_configuration(cx, peers, &from, &fetch),
+        Message::ConfigChunk(chunk) => {
+            let key = PartKey { peer: from, digest: chunk.digest.to_vec() };
+            if let Some(tx) = peers.parts().get(&key) {
+                // A part that arrives twice is the same part.
+                let _ = tx.try_send(chunk);
+            }
+        }
+        Message::PoisonVerdict(verdict) => {
+            let Ok(fingerprint) = Fingerprint::try_from(verdict.fingerprint.as_ref()) else {
+                return;
+            };
+            cx.control.send(ControlEvent::Dispatch(Event::PoisonVerdict { fingerprint }));
+        }
+        Message::PoisonSuspicion(suspicion) => {
+            if let Some(suspicion) = suspects::suspicion_from_wire(&suspicion) {
+                cx.control.send(ControlEvent::Dispatch(Event::PoisonSuspicion(suspicion)));
+            }
+        }
+        Message::SuspectClaim(claim) => {
+            if let Some(claim) = suspects::claim_from_wire(&claim) {
+                cx.control.send(ControlEvent::Dispatch(Event::SuspectClaim { peer: from, claim }));
+            }
+        }
+        Message::JobCancelled(cancelled) => {
+            let _ = peers.inner.cancelled.0.try_send(cancelled);
+        }
+        Message::Leaving(_) => {
+            info!(cx.log, "peer is leaving"; "peer" => %from);
+            cx.control.send(ControlEvent::PeerLeaving { peer: from });
+        }
+        // These concern a link alone and make no sense from further away.
+        Message::Hello(_)
+        | Message::LinkRole(_)
+        | Message::Flood(_)
+        | Message::Forward(_)
+        | Message::Loads(_)
+        | Message::ReadRequest(_)
+        | Message::ReadAnswer(_) => {}
+        Message::JobAccepted(job) => peers.inner.jobs.take_job(job),
+        Message::JobRequest(req) if cx.settings.batch.enabled => {
+            peers.inner.jobs.take_question(from, req);
+        }
+        Message::JobRequest(JobRequest { id, .. }) => {
+            peers.answer_about_job(&from, JobAnswer { id, ..JobAnswer::default() });
+        }
+        Message::JobAnswer(answer) => peers.inner.jobs.on_answer(answer),
+        message @ (Message::LoanRequest(_) | Message::LoanGrant(_) | Message::LoanReturn(_)) => {
+            if let Some(message) = loans::from_wire(message) {
+                cx.control.send(ControlEvent::Rate { from, message });
+            }
+        }
+    }
+}
+
+fn on_heartbeat(cx: &Shared, peers: &Peers, from: &Name, heartbeat: &Heartbeat) {
+    note_revision(cx, peers, from, heartbeat.revision);
+    let Some(failure_domain) = peers.domain_of(from) else { return };
+    let table = cx.directory.get();
+    let part = loads::part_of_heartbeat(&table, from, failure_domain, heartbeat);
+    cx.control.send(ControlEvent::Dispatch(loads::event(&table, &part)));
+}
+
+fn on_loads(cx: &Arc<Shared>, peers: &Peers, from: &Name, loads: &Loads) {
+    note_revision(cx, peers, from, loads.revision);
+    let (sender, is_relay) =
+        peers.inner.links.with_router(|router| (loads::sender(router, from), router.relays_now()));
+    let table = cx.directory.get();
+    for part in loads.parts.iter().map(loads::from_wire) {
+        cx.control.send(ControlEvent::Dispatch(loads::event(&table, &part)));
+        if let (true, Some(sender)) = (is_relay, sender) {
+            peers.book().note(from, sender, part);
+        }
+    }
+    if is_relay && loads.urgent {
+        peers.share_load(cx);
+    }
+}
+
+/// Tells the task that keeps the configuration up to date if a peer is ahead.
+fn note_revision(cx: &Shared, peers: &Peers, peer: &Name, revision: u64) {
+    if revision > cx.in_force.number() || cx.in_force.get().is_none() {
+        // A full queue holds news of the same kind.
+        let _ = peers.inner.news.try_send(PeerRevision { peer: peer.clone(), revision });
+    }
+}
+
+fn send_configuration(cx: &Shared, peers: &Peers, to: &Name, fetch: &ConfigFetch) {
+    let Some(in_force) = cx.in_force.get() else { return };
+    let Some(stored) = &in_force.stored else { return };
+    let revision = in_force.number();
+    let send = |digest: Vec<u8>, content: Vec<u8>| {
+        let chunk = ConfigChunk { revision, digest: digest.into(), content: content.into() };
+        if let Err(e) = peers.inner.hub.send(to, &Message::ConfigChunk(chunk)) {
+            debug!(cx.log, "configuration not sent"; "peer" => %to, "error" => %e);
+        }
+    };
+    if fetch.digests.is_empty() {
+        if let Ok(head) = serde_json::to_vec(&stored.head) {
+            send(Vec::new(), head);
+        }
+        return;
+    }
+    for digest in &fetch.digests {
+        if let Some(chunk) = stored.chunks.get(hex::encode(digest).as_str()) {
+            send(digest.to_vec(), chunk.to_vec());
+        }
+    }
+}
+
+async fn renew_heartbeat(cx: Arc<Shared>, peers: Peers) {
+    loop {
+        peers.upkeep(&cx);
+        if let Some(status) = cx.control.loads().await {
+            let report = loads::own_report(&status);
+            let is_mesh = peers.inner.links.with_router(|it| it.topology().is_mesh());
+            match is_mesh {
+                true => {
+                    let heartbeat = loads::heartbeat(cx.in_force.number(), &report);
+                    if let Err(e) = peers.inner.hub.set_heartbeat(heartbeat) {
+                        debug!(cx.log, "heartbeat too large"; "error" => %e);
+                    }
+                }
+                false => {
+                    peers.inner.hub.clear_heartbeat();
+                    peers.send_loads(&cx, &report, false);
+                }
+            }
+        }
+        export_traffic(&cx, &peers);
+        task::sleep(HEARTBEAT_INTERVAL).await;
+    }
+}
+
+fn export_traffic(cx: &Shared, peers: &Peers) {
+    let stats = peers.inner.hub.stats();
+    let counts = [
+        ("sent", "bytes", stats.bytes_sent),
+        ("received", "bytes", stats.bytes_received),
+        ("sent", "messages", stats.messages_sent),
+        ("received", "messages", stats.messages_received),
+    ];
+    for (direction, unit, count) in counts {
+        let labels = PeerLabels { direction: direction.to_owned(), unit: unit.to_owned() };
+        let counter = cx.metrics.peer_traffic.get_or_create(&labels);
+        counter.inc_by(count.saturating_sub(counter.get()));
+    }
+}
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -39,6 +39,13 @@
         /// Daemons to contact if the registered ones cannot be read.
         #[serde(default)]
         pub peers: Vec<PeerAddress>,
+        /// The processor share of this instance in cores; instances with more of it pass messages on first.
+        #[serde(default)]
+        pub cpu_share: f64,
+        /// Whether all daemons of the fleet start for the first time, so that each waits a moment for the others to
+        /// register.
+        #[serde(default)]
+        pub fresh_fleet: bool,
         /// The platform's key-value service and instance list.
         pub platform: PlatformSettings,
         /// A folder for copies of bulk data; without one the daemon keeps nothing on disk.
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -21,7 +21,7 @@
 
 use crate::{
     batch_work, burn::Burn, clock::Clock, control::ControlHandle, directory::Directory, in_force,
-    known_jobs::KnownJobs, logging::Dropped, metrics::Metrics, settings::Settings,
+    known_jobs::KnownJobs, logging::Dropped, metrics::Metrics, peers::Peers, settings::Settings,
 };
 
 /// The context that every task of a daemon gets.
@@ -54,6 +54,8 @@
     pub in_force: in_force::Cell,
     /// The records of jobs that callers asked for lately.
     pub known_jobs: KnownJobs,
+    /// The links to other daemons, once they are listened for.
+    pub peers: OnceLock<Peers>,
     /// Where the targets listen.
     pub directory: Directory,
     /// The batch work.
@@ -113,6 +115,7 @@
             client,
             in_force: in_force::Cell::default(),
             known_jobs: KnownJobs::default(),
+            peers: OnceLock::new(),
             directory: Directory::default(),
             batch: batch_work::Handle::default(),
             draining: Signal::new(),
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -277,8 +277,9 @@
     let refused = async || site.send(large()).await.status == 413;
     wait_until("a larger body is refused", refused).await?;
     assert_eq!(site.send(call(LOOKUPS, "r-1")).await.status, 200);
-    let mut idle = TcpStream::connect(site.callers()).await?;
+    // The daemon may have accepted the connection before it is told here.
     let since = Instant::now();
+    let mut idle = TcpStream::connect(site.callers()).await?;
     assert_eq!(idle.read(&mut [0; 1]).await?, 0, "the idle connection is closed");
     assert!((300..3_000).contains(&since.elapsed().as_millis()), "{:?}", since.elapsed());
     Ok(())
@@ -387,6 +388,35 @@
     Ok(())
 }
 
+// Guards against a read of the store for each call for results, of which there are two a second for each open job.
+#[async_std::test]
+async fn calls_for_the_results_of_a_job_are_answered_by_the_daemon_that_runs_it() -> io::Result<()>
+{
+    let target = Target::start(stream(20, 50)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let reads = || -> u64 {
+        let calls = site.platform.calls();
+        calls.iter().filter(|(call, _)| call.contains("kv-range")).map(|(_, n)| n).sum()
+    };
+    assert_eq!(site.send(submission("job-1", &["i-1", "i-2", "i-3"])).await.status, 202);
+    let before = reads();
+    let start = Instant::now();
+    let mut listed = 0;
+    while listed < 3 && start.elapsed() < LIMIT {
+        let call = Call::get(operator::results_path("job-1", listed)).key(KEY);
+        let reply = site.send(call.header("x-wait-ms", "100")).await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        listed = reply.json()["next"].as_u64().expect("a number") as usize;
+    }
+    assert_eq!(listed, 3);
+    let body = site.send(Call::get(operator::body_path("job-1", "i-2")).key(KEY)).await;
+    assert_eq!((body.status, body.text().as_str()), (200, "a"));
+    // Rate slots are read every two seconds.
+    assert!(reads() - before <= 2 + start.elapsed().as_secs() / 2, "{} reads", reads() - before);
+    assert!(!site.platform.calls().contains_key(READ_KEY_CALL));
+    Ok(())
+}
+
 // Guards against items that run after their job was ended, and against an end that fails when it is repeated.
 #[async_std::test]
 async fn an_ended_job_stops_and_its_end_can_be_repeated() -> io::Result<()> {
@@ -493,6 +523,8 @@
     let site = Site::start(&[("t-1", &target)]).await?;
     let faults = |faults: Faults| site.platform.set_faults(&faults).expect("valid");
     site.worker.pause();
+    // Without a link, nobody can hand the job over.
+    task::sleep(Duration::from_millis(1_500)).await;
     assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
     faults(Faults { refuse_reads: Some(true), ..Faults::default() });
     site.worker.resume();
--- /dev/null
+++ b/crates/borageshed/tests/readers.rs
@@ -0,0 +1,124 @@
+//! What the owner of a job tells those that serve its callers.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use borageshed::job_work::readers::{Known, Question, Readers, Reply};
+use fleet::{BatchTerms, Kind, QualifiedName};
+use jobs::{Item, ItemEnd, JobId, JobRecord, JobRun, Submission, model::Bytes};
+use kv_store::Revision;
+use peer::{JobRequest, JobStatus};
+use stdx::{Name, Timestamp};
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn run(items: &[&str]) -> JobRun {
+    let item = |id: &&str| Item {
+        id: Name::new(id),
+        path: Name::new("/jobs/x"),
+        headers: BTreeMap::new(),
+        body: Bytes(format!("body of {id}").into_bytes()),
+        tokens: 100,
+    };
+    let submission = Submission {
+        id: JobId::parse("job-1").expect("valid"),
+        account: QualifiedName::new("operator", Kind::Account, "acme"),
+        service: QualifiedName::new("operator", Kind::Service, "engine"),
+        route: Name::new("route"),
+        host: Name::new("shop.example"),
+        items: items.iter().map(item).collect(),
+        terms: BatchTerms {
+            due: Duration::from_secs(18),
+            give_up_after: Duration::from_secs(60),
+            max_waiting_tokens: None,
+        },
+        max_attempts: 2,
+        received_ms: 0,
+    };
+    let transaction = submission.transaction().expect("valid");
+    let record: JobRecord = serde_json::from_slice(&transaction.writes[0].value).expect("a record");
+    JobRun::new(submission.id, record, Revision(5), submission.route, submission.items, vec![])
+}
+
+fn finish(run: &mut JobRun, index: usize, text: &str) {
+    run.take_item(index);
+    run.on_end(index, ItemEnd::Completed { text: text.to_owned() }, 0);
+}
+
+fn ask(readers: &mut Readers, now: Timestamp, after: u32, item: &str) {
+    let req =
+        JobRequest { id: 7, job: "job-1".to_owned(), after, wait_ms: 900, item: item.to_owned() };
+    readers.ask(now, Question { from: "entry".into(), req });
+}
+
+fn owned(run: &JobRun) -> Known<'_> {
+    Known { owned: Some(run), owner: None, is_to_be_claimed: false }
+}
+
+fn texts(replies: &[Reply]) -> Vec<Vec<String>> {
+    let text = |content: &bytes::Bytes| String::from_utf8_lossy(content).into_owned();
+    replies.iter().map(|it| it.answer.content.iter().map(text).collect()).collect()
+}
+
+/// Guards against results that are told before they are stored, which another owner could contradict, and against a caller
+/// who waits on although there is a result.
+#[test]
+fn a_result_is_told_as_soon_as_it_is_stored() {
+    let (mut readers, mut run) = (Readers::default(), run(&["a", "b"]));
+    finish(&mut run, 0, "first");
+    run.commit(0).expect("a result");
+    ask(&mut readers, at(0), 0, "");
+    assert!(readers.answer(at(500), |_| owned(&run)).is_empty(), "it is not stored yet");
+    run.on_committed(Revision(6));
+    let replies = readers.answer(at(600), |_| owned(&run));
+    assert_eq!(texts(&replies), [[r#"{"id":"a","state":"completed","text":"first"}"#]]);
+    assert_eq!((replies[0].answer.total, &*replies[0].to), (2, "entry"));
+    assert!(!readers.has_waiting());
+    ask(&mut readers, at(700), 1, "");
+    assert!(readers.answer(at(1_599), |_| owned(&run)).is_empty());
+    assert_eq!(texts(&readers.answer(at(1_600), |_| owned(&run))), [[""; 0]], "the wait is over");
+}
+
+/// Guards against an answer from an owner whose lease may have lapsed, so that a newer owner knows more.
+#[test]
+fn an_owner_that_is_not_sure_of_its_claim_tells_nothing() {
+    let mut readers = Readers::default();
+    ask(&mut readers, at(0), 0, "");
+    let unknown = |_: &JobId| Known { owned: None, owner: None, is_to_be_claimed: false };
+    let replies = readers.answer(at(1), unknown);
+    assert_eq!(replies[0].answer.status, i32::from(JobStatus::Unsure));
+    ask(&mut readers, at(0), 0, "");
+    let other = Name::from("other");
+    let elsewhere = |_: &JobId| Known { owned: None, owner: Some(&other), is_to_be_claimed: false };
+    assert_eq!(readers.answer(at(1), elsewhere)[0].answer.owner, "other");
+}
+
+/// Guards against a read of the store for each job that was accepted a moment ago.
+#[test]
+fn a_question_about_a_job_that_is_about_to_be_claimed_waits() {
+    let (mut readers, run) = (Readers::default(), run(&["a"]));
+    let soon = |_: &JobId| Known { owned: None, owner: None, is_to_be_claimed: true };
+    ask(&mut readers, at(0), 0, "a");
+    assert!(readers.answer(at(300), soon).is_empty());
+    assert_eq!(texts(&readers.answer(at(310), |_| owned(&run))), [["body of a"]]);
+    ask(&mut readers, at(400), 0, "");
+    assert!(readers.answer(at(1_000), soon).is_empty());
+    assert_eq!(readers.answer(at(1_200), soon)[0].answer.status, i32::from(JobStatus::Unsure));
+}
+
+/// Guards against a read of the store for each call that concerns a finished job, and against memory that grows with them.
+#[test]
+fn a_finished_job_is_told_of_from_memory() {
+    let (mut readers, mut run) = (Readers::default(), run(&["a"]));
+    finish(&mut run, 0, "all");
+    run.commit(0).expect("a result");
+    run.on_committed(Revision(6));
+    readers.keep_ended(run);
+    let unknown = |_: &JobId| Known { owned: None, owner: None, is_to_be_claimed: false };
+    ask(&mut readers, at(0), 0, "");
+    ask(&mut readers, at(0), 1, "");
+    let replies = readers.answer(at(1), unknown);
+    assert_eq!(texts(&replies).iter().map(Vec::len).collect::<Vec<_>>(), [1, 0]);
+    assert!(replies.iter().all(|it| it.answer.status == i32::from(JobStatus::Known)));
+}
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -18,5 +18,8 @@
         pub admits_callers: bool,
         /// Whether it runs batch items.
         pub runs_items: bool,
+        /// The processor share of its instance in thousandths of a core; 0 if it does not say.
+        #[serde(default)]
+        pub capacity: u32,
     }
 }
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -14,6 +14,11 @@
 /// How much later the next daemon in line takes a job that nobody has claimed.
 const TURN: Duration = Duration::from_millis(700);
 
+/// Returns the daemon that claims a job at once, if it can.
+pub fn first<'a>(id: &JobId, daemons: impl IntoIterator<Item = &'a Name>) -> Option<&'a Name> {
+    daemons.into_iter().max_by_key(|it| (score(id, it), (*it).clone()))
+}
+
 /// Returns how long a daemon waits before it claims a job.
 pub fn delay<'a>(id: &JobId, own: &Name, daemons: impl IntoIterator<Item = &'a Name>) -> Duration {
     let rank = |it: &Name| (score(id, it), it.clone());
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -1,6 +1,9 @@
 //! The owner's view of a job.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+};
 
 use kv_store::{Revision, Transaction};
 use stdx::{Name, record_type};
@@ -10,7 +13,7 @@
     model::{Item, ItemResult, ItemState, JobRecord, OpenJob, encode},
 };
 
-/// Results in one transaction, whose record, index entry and conditions take four more of the 32 operations.
+/// Results in one transaction, whose record, index entry, claim and conditions take five more of the 32 operations.
 const MAX_RESULTS: usize = 24;
 /// The least time between two writes of the index entry while items are left, in milliseconds: each of them wakes every
 /// daemon that runs items, and an entry that counts finished items for a while only makes the account wait.
@@ -41,13 +44,13 @@
 }
 
 /// A job that this daemon has claimed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct JobRun {
     id: JobId,
     record: JobRecord,
     revision: Revision,
     route: Name,
-    items: Vec<Item>,
+    items: Arc<[Item]>,
     /// The indexes of the items that wait.
     waiting: VecDeque<usize>,
     running: BTreeSet<usize>,
@@ -55,21 +58,29 @@
     verdicts: Vec<u32>,
     /// Results that are not stored yet.
     unsaved: VecDeque<(usize, ItemResult)>,
-    /// The results in the transaction that is under way.
-    saving: usize,
+    /// The results in the transaction that is under way, as they are stored.
+    saving: Vec<Arc<[u8]>>,
+    /// The results that are stored, by position.
+    stored: Vec<Arc<[u8]>>,
     /// When the index entry was written last, in milliseconds since the Unix epoch.
     indexed_ms: u64,
 }
 
 impl JobRun {
-    /// Begins to run a job from what is stored of it.
+    /// Begins to run a job from what is stored of it: its record, items and results.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the record lists another number of results.
     pub fn new(
         id: JobId,
         record: JobRecord,
         revision: Revision,
         route: Name,
         items: Vec<Item>,
+        stored: Vec<Arc<[u8]>>,
     ) -> Self {
+        assert_eq!(record.listed.len(), stored.len(), "the record lists the stored results");
         let waiting = (0..items.len()).filter(|it| !record.listed.contains(it)).collect();
         let (failures, verdicts) = (vec![0; items.len()], vec![0; items.len()]);
         Self {
@@ -77,13 +88,14 @@
             record,
             revision,
             route,
-            items,
+            items: items.into(),
             waiting,
             running: BTreeSet::new(),
             failures,
             verdicts,
             unsaved: VecDeque::new(),
-            saving: 0,
+            saving: Vec::new(),
+            stored,
             indexed_ms: 0,
         }
     }
@@ -103,6 +115,16 @@
         &self.items[index]
     }
 
+    /// Returns the items.
+    pub fn items(&self) -> &[Item] {
+        &self.items
+    }
+
+    /// Returns the stored results from a position on, as they are stored.
+    pub fn results_from(&self, position: usize) -> &[Arc<[u8]>] {
+        self.stored.get(position..).unwrap_or_default()
+    }
+
     /// Returns how often an item was held to be the cause of the loss of targets.
     pub fn verdicts(&self, index: usize) -> u32 {
         self.verdicts[index]
@@ -161,7 +183,7 @@
 
     /// Returns the transaction that stores finished results, if there are any and none is under way.
     pub fn commit(&mut self, unix_ms: u64) -> Option<Transaction> {
-        if self.unsaved.is_empty() || self.saving > 0 {
+        if self.unsaved.is_empty() || !self.saving.is_empty() {
             return None;
         }
         let mut record = self.record.clone();
@@ -176,7 +198,7 @@
             results.push((self.id.result(record.listed.len()), value));
             record.listed.push(*index);
         }
-        self.saving = results.len();
+        self.saving = results.iter().map(|(_, value)| Arc::from(value.as_slice())).collect();
         let mut transaction = Transaction::default()
             .expect(self.id.record(), self.revision)
             .write(self.id.record(), encode(&record));
@@ -184,7 +206,7 @@
             transaction = transaction.write(key, value);
         }
         if record.is_ended() {
-            return Some(transaction.remove(self.id.open()));
+            return Some(transaction.remove(self.id.open()).remove(self.id.claim()));
         }
         if unix_ms < self.indexed_ms + INDEX_INTERVAL_MS {
             return Some(transaction);
@@ -195,19 +217,19 @@
 
     /// Notes that the transaction under way took effect; without one the stored record is not known to be this one.
     pub fn on_committed(&mut self, revision: Revision) {
-        if self.saving == 0 {
+        if self.saving.is_empty() {
             return;
         }
-        for (index, _) in self.unsaved.drain(..self.saving) {
+        for (index, _) in self.unsaved.drain(..self.saving.len()) {
             self.record.listed.push(index);
         }
-        self.saving = 0;
+        self.stored.append(&mut self.saving);
         self.revision = revision;
     }
 
     /// Notes that the transaction under way had no effect.
     pub fn on_not_committed(&mut self) {
-        self.saving = 0;
+        self.saving.clear();
     }
 
     /// Returns whether every item has a result, stored or not.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -45,5 +45,5 @@
     let submission = submission(items);
     let transaction = submission.transaction().expect("valid");
     let record: JobRecord = serde_json::from_slice(&transaction.writes[0].value).expect("a record");
-    JobRun::new(submission.id, record, Revision(5), submission.route, submission.items)
+    JobRun::new(submission.id, record, Revision(5), submission.route, submission.items, vec![])
 }
--- a/crates/peer/src/dial.rs
+++ b/crates/peer/src/dial.rs
@@ -14,6 +14,11 @@
 pub(crate) async fn run(shared: Arc<Shared>, peer: Peer, dialled: Dialled) {
     let mut limit = first_limit(&shared.cfg);
     while !dialled.stop.is_closed() {
+        if shared.is_linked(&peer.id) {
+            // The peer has opened the link; this side opens it if the peer no longer wants it.
+            let _ = future::timeout(shared.cfg.silence, dialled.stop.recv()).await;
+            continue;
+        }
         let dial = future::timeout(shared.cfg.silence, TcpStream::connect(peer.address)).await;
         let was_up = match dial {
             Ok(Ok(stream)) => link::run(&shared, stream, Some(&dialled)).await,
--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -147,8 +147,8 @@
 
 /// The links to all peers; they are closed when the hub is dropped.
 ///
-/// Each pair of instances keeps one connection, dialled by the one whose id is lower. Links of instances outside the set
-/// of peers are accepted, since the instance list that the set comes from lags.
+/// Each pair of instances keeps one connection, which lasts as long as the side that dialled it wants it. Links of all
+/// instances are accepted, since the lists of instances lag behind each other.
 #[derive(Debug)]
 pub struct Hub {
     shared: Arc<Shared>,
@@ -186,6 +186,8 @@
 struct LinkHandle {
     serial: u64,
     incarnation: u64,
+    /// Whether this instance dialled.
+    is_dialled: bool,
     queue: Sender<Bytes>,
     queued_bytes: Arc<AtomicUsize>,
     kill: Sender<DownReason>,
@@ -232,9 +234,8 @@
         self.address
     }
 
-    /// Replaces the set of peers. Peers with a higher id are dialled; links to peers that are no longer in the set are
-    /// closed.
-    pub fn set_peers(&self, peers: &[Peer]) {
+    /// Replaces the set of peers to which this instance opens links. Links that it opened to others are closed.
+    pub fn set_dialled(&self, peers: &[Peer]) {
         let own = &self.shared.cfg.id;
         let wanted: HashMap<&Name, SocketAddr> = peers
             .iter()
@@ -244,7 +245,7 @@
         let mut dialled = lock(&self.dialled);
         dialled.retain(|id, dial| wanted.get(id) == Some(&dial.address));
         for (id, address) in &wanted {
-            if *id > own && !dialled.contains_key(*id) {
+            if !dialled.contains_key(*id) {
                 let (stop_tx, stop) = async_channel::bounded(1);
                 dialled.insert((*id).clone(), Dialled { address: *address, _stop: stop_tx });
                 let peer = Peer { id: (*id).clone(), address: *address };
@@ -252,11 +253,6 @@
                 task::spawn(dial::run(Arc::clone(&self.shared), peer, dialled));
             }
         }
-        for (id, link) in lock(&self.shared.links).iter() {
-            if !wanted.contains_key(id) {
-                link.end(DownReason::Removed);
-            }
-        }
     }
 
     /// Replaces the contents of the heartbeats; the hub sets the sequence. A changed revision is sent at once.
@@ -280,6 +276,11 @@
         Ok(())
     }
 
+    /// Sends heartbeats without contents from now on.
+    pub fn clear_heartbeat(&self) {
+        lock(&self.shared.heartbeat).encoded = Bytes::new();
+    }
+
     /// Queues a message for a peer without blocking.
     ///
     /// # Errors
@@ -287,7 +288,15 @@
     /// Fails if there is no link, its queue is full, or the message exceeds a frame. A queued message is lost if the link
     /// ends before it is sent.
     pub fn send(&self, to: &str, message: &Message) -> Result<(), SendError> {
-        let frame = message::encode(message)?;
+        self.send_encoded(to, message::encode(message)?)
+    }
+
+    /// As [`Self::send`], with a message that is encoded already.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub fn send_encoded(&self, to: &str, frame: Bytes) -> Result<(), SendError> {
         let links = lock(&self.shared.links);
         let link = links.get(to).ok_or(SendError::NotConnected)?;
         link.push(&self.shared.counters, frame)
@@ -356,20 +365,33 @@
     /// Makes a link the only one to its peer, after the former one has reported its end. Returns `None` if the present
     /// link belongs to a newer incarnation.
     ///
-    /// A connection of the same incarnation replaces the former one as well: only one side dials, and it does so because
-    /// it gave the former connection up.
-    pub(crate) async fn register(&self, peer: &Name, incarnation: u64) -> Option<Registration> {
+    /// A connection of the same incarnation and the same dialler replaces the former one as well: a side dials again because
+    /// it gave the former connection up. If both sides dialled, the connection of the one with the lower id stays.
+    pub(crate) async fn register(
+        &self,
+        peer: &Name,
+        incarnation: u64,
+        is_dialled: bool,
+    ) -> Option<Registration> {
+        let is_preferred = is_dialled == (self.cfg.id < *peer);
         let serial = self.next_serial.fetch_add(1, Ordering::Relaxed);
         loop {
             let former = {
                 let mut links = lock(&self.links);
                 match links.get(peer) {
                     None => {
-                        let (handle, registration) = new_link(serial, incarnation);
+                        let (handle, registration) = new_link(serial, incarnation, is_dialled);
                         links.insert(peer.clone(), handle);
                         return Some(registration);
                     }
                     Some(former) if former.incarnation > incarnation => return None,
+                    Some(former)
+                        if former.incarnation == incarnation
+                            && former.is_dialled != is_dialled
+                            && !is_preferred =>
+                    {
+                        return None;
+                    }
                     // A connection that arrived later than this one is already registered.
                     Some(former) if former.serial > serial => return None,
                     Some(former) => {
@@ -383,6 +405,11 @@
         }
     }
 
+    /// Returns whether there is a link to a peer.
+    pub(crate) fn is_linked(&self, peer: &Name) -> bool {
+        lock(&self.links).contains_key(peer)
+    }
+
     /// Removes a link.
     pub(crate) fn unregister(&self, peer: &Name, serial: u64) {
         let mut links = lock(&self.links);
@@ -401,7 +428,7 @@
     }
 }
 
-fn new_link(serial: u64, incarnation: u64) -> (LinkHandle, Registration) {
+fn new_link(serial: u64, incarnation: u64, is_dialled: bool) -> (LinkHandle, Registration) {
     let (queue_tx, queue) = async_channel::bounded(QUEUE_MESSAGES);
     let (kill_tx, kill) = async_channel::bounded(1);
     let (done_tx, done) = async_channel::bounded(1);
@@ -409,6 +436,7 @@
     let handle = LinkHandle {
         serial,
         incarnation,
+        is_dialled,
         queue: queue_tx,
         queued_bytes: Arc::clone(&queued_bytes),
         kill: kill_tx,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,8 +14,9 @@
 
 pub use hub::{DownReason, Hub, HubConfig, Peer, PeerEvent, SendError};
 pub use message::{
-    ClosedLoan, ConfigChunk, ConfigFetch, Heartbeat, Hello, JobCancelled, JobProgress, Leaving,
-    LoanGrant, LoanRequest, LoanReturn, Message, PoisonSuspicion, PoisonVerdict, SuspectClaim,
-    SuspectState,
+    ClosedLoan, ConfigChunk, ConfigFetch, Flood, Forward, Heartbeat, Hello, JobAccepted, JobAnswer,
+    JobCancelled, JobRequest, JobStatus, Leaving, LinkRole, LoadPart, Loads, LoanGrant,
+    LoanRequest, LoanReturn, Message, PoisonSuspicion, PoisonVerdict, ReadAnswer, ReadRequest,
+    ReadStatus, StoredItem, SuspectClaim, SuspectState,
 };
 pub use stats::Stats;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -49,7 +49,9 @@
     let hello = hello.filter(|hello| is_acceptable(&shared.cfg.id, hello, dialled));
     let peer = hello.as_ref().map(|hello| Name::new(&hello.instance));
     let registration = match (&hello, &peer) {
-        (Some(hello), Some(peer)) => shared.register(peer, hello.incarnation).await,
+        (Some(hello), Some(peer)) => {
+            shared.register(peer, hello.incarnation, dialled.is_some()).await
+        }
         _ => None,
     };
     let (Some(hello), Some(peer), Some(registration)) = (hello, peer, registration) else {
@@ -124,11 +126,11 @@
     }
 }
 
-/// The lower id dials, so a caller must have a lower id than this instance, and a dialled peer the id that was dialled.
+/// A dialled peer must have the id that was dialled, and no peer the own one.
 fn is_acceptable(own: &Name, hello: &Hello, dialled: Option<&Dialled>) -> bool {
     let right_peer = match dialled {
         Some(dialled) => hello.instance == dialled.peer.as_str(),
-        None => hello.instance.as_str() < own.as_str(),
+        None => hello.instance.as_str() != own.as_str(),
     };
     hello.protocol == PROTOCOL && right_peer
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -213,15 +213,255 @@
     pub job: String,
 }
 
-/// Tells how many results of a batch job are stored.
+/// What the sender of a link's frames says about itself.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct JobProgress {
+pub struct LinkRole {
+    /// Whether it passes messages on.
+    #[prost(bool, tag = "1")]
+    pub relays: bool,
+    /// Whether the receiver is to pass messages on to it.
+    #[prost(bool, tag = "2")]
+    pub subscribes: bool,
+}
+
+/// A message to all instances.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Flood {
+    /// The id of the sender.
+    #[prost(string, tag = "1")]
+    pub origin: String,
+    /// The encoded message.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub payload: Bytes,
+}
+
+/// A message to one instance that takes more than one link.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Forward {
+    /// The id of the addressee.
+    #[prost(string, tag = "1")]
+    pub to: String,
+    /// The id of the sender.
+    #[prost(string, tag = "2")]
+    pub origin: String,
+    /// The encoded message.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub payload: Bytes,
+    /// The links that it has passed.
+    #[prost(uint32, tag = "4")]
+    pub hops: u32,
+}
+
+/// Requests in flight of parts of the fleet.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Loads {
+    /// The parts.
+    #[prost(message, repeated, tag = "1")]
+    pub parts: Vec<LoadPart>,
+    /// Whether a relay is to tell runners of batch items at once.
+    #[prost(bool, tag = "2")]
+    pub urgent: bool,
+    /// The configuration revision that the sender has in force.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+}
+
+/// Requests in flight of one instance, or the sum over several. The lists that go with `targets` may be shorter, which stands
+/// for zeros.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoadPart {
+    /// The instance, or the name of the part.
+    #[prost(string, tag = "1")]
+    pub origin: String,
+    /// The failure domain of the instances; empty for several.
+    #[prost(string, tag = "2")]
+    pub failure_domain: String,
+    /// The short identities of the targets with requests in flight.
+    #[prost(fixed32, repeated, tag = "3")]
+    pub targets: Vec<u32>,
+    /// The online requests on each of `targets`.
+    #[prost(uint32, repeated, tag = "4")]
+    pub online: Vec<u32>,
+    /// The batch requests.
+    #[prost(uint32, repeated, tag = "5")]
+    pub batch: Vec<u32>,
+    /// The suspects.
+    #[prost(uint32, repeated, tag = "6")]
+    pub suspects: Vec<u32>,
+    /// The online requests of instances at which others for the same service wait.
+    #[prost(uint32, repeated, tag = "7")]
+    pub contending: Vec<u32>,
+    /// The batch requests of instances at which others for the same service wait.
+    #[prost(uint32, repeated, tag = "8")]
+    pub batch_contending: Vec<u32>,
+    /// The short identities of the services for which online requests wait.
+    #[prost(fixed64, repeated, tag = "9")]
+    pub waiting: Vec<u64>,
+    /// The number of instances at which they do, for each of `waiting`.
+    #[prost(uint32, repeated, tag = "10")]
+    pub waiting_instances: Vec<u32>,
+    /// The short identities of the services for which batch requests wait.
+    #[prost(fixed64, repeated, tag = "11")]
+    pub batch_waiting: Vec<u64>,
+    /// The number of instances at which they do, for each of `batch_waiting`.
+    #[prost(uint32, repeated, tag = "12")]
+    pub batch_waiting_instances: Vec<u32>,
+}
+
+/// Asks a relay for what it has read of the key-value service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReadRequest {
+    /// Chosen by the asker and repeated in the answer.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The prefix of the keys.
+    #[prost(string, tag = "2")]
+    pub prefix: String,
+    /// The run of the relay's copy that was read before; 0 asks for all keys.
+    #[prost(fixed64, tag = "3")]
+    pub run: u64,
+    /// The number of the copy's changes after which others are wanted.
+    #[prost(uint64, tag = "4")]
+    pub after: u64,
+    /// How long the answer may wait for a change, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub wait_ms: u32,
+    /// Whether only what was read from the service itself will do.
+    #[prost(bool, tag = "6")]
+    pub at_first_hand: bool,
+}
+
+/// How a relay answers a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ReadStatus {
+    /// It cannot answer: it is behind, or the answer exceeds a frame.
+    Unusable = 0,
+    /// All keys with the prefix follow.
+    All = 1,
+    /// The changes after the revision of the request follow.
+    Changes = 2,
+    /// It cannot reach the service itself.
+    ServiceLost = 3,
+}
+
+/// Answers a read.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReadAnswer {
+    /// The id of the request.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What follows.
+    #[prost(enumeration = "ReadStatus", tag = "2")]
+    pub status: i32,
+    /// The revision of the service that the relay's copy is as new as.
+    #[prost(int64, tag = "3")]
+    pub revision: i64,
+    /// The run of the relay's copy.
+    #[prost(fixed64, tag = "5")]
+    pub run: u64,
+    /// The number of its changes.
+    #[prost(uint64, tag = "6")]
+    pub changes: u64,
+    /// The keys.
+    #[prost(message, repeated, tag = "4")]
+    pub items: Vec<StoredItem>,
+}
+
+/// A key of the key-value service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoredItem {
+    /// The key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+    /// The revision of its last change.
+    #[prost(int64, tag = "3")]
+    pub revision: i64,
+    /// The revision of its creation.
+    #[prost(int64, tag = "4")]
+    pub created: i64,
+    /// Its lease; 0 for none.
+    #[prost(int64, tag = "5")]
+    pub lease: i64,
+    /// Whether the key was removed.
+    #[prost(bool, tag = "6")]
+    pub removed: bool,
+}
+
+/// Tells the daemon that is to claim a batch job that the job was accepted, with all that is stored of it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct JobAccepted {
     /// The id of the job.
     #[prost(string, tag = "1")]
     pub job: String,
-    /// The number of results.
-    #[prost(uint32, tag = "2")]
-    pub listed: u32,
+    /// The revision of its record.
+    #[prost(int64, tag = "2")]
+    pub revision: i64,
+    /// Its record, as it is stored.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub record: Bytes,
+    /// Its entry in the index of unfinished jobs, likewise.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub open: Bytes,
+    /// The parts of its items, likewise.
+    #[prost(bytes = "bytes", repeated, tag = "5")]
+    pub parts: Vec<Bytes>,
+}
+
+/// Asks the owner of a batch job about it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct JobRequest {
+    /// Chosen by the asker and repeated in the answer.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The id of the job.
+    #[prost(string, tag = "2")]
+    pub job: String,
+    /// The position from which results are wanted.
+    #[prost(uint32, tag = "3")]
+    pub after: u32,
+    /// How long the answer may wait for a result, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
+    /// The item whose body is wanted instead of results; empty for results.
+    #[prost(string, tag = "5")]
+    pub item: String,
+}
+
+/// How the owner of a batch job answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum JobStatus {
+    /// It does not run the job, or cannot be sure that nobody else does.
+    Unsure = 0,
+    /// What is asked for follows.
+    Known = 1,
+}
+
+/// Answers a question about a batch job.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct JobAnswer {
+    /// The id of the request.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Whether the rest counts.
+    #[prost(enumeration = "JobStatus", tag = "2")]
+    pub status: i32,
+    /// The instance that runs the job, as far as the answering one knows; empty if it does not.
+    #[prost(string, tag = "3")]
+    pub owner: String,
+    /// The qualified name of the account, as `origin/name`.
+    #[prost(string, tag = "4")]
+    pub account: String,
+    /// The number of items.
+    #[prost(uint32, tag = "5")]
+    pub total: u32,
+    /// The stored results from the wanted position on, or the body.
+    #[prost(bytes = "bytes", repeated, tag = "6")]
+    pub content: Vec<Bytes>,
 }
 
 /// Tells that the sender shuts down and takes no new work.
@@ -267,14 +507,41 @@
     /// Keeps other suspects away.
     #[prost(message, tag = "12")]
     SuspectClaim(SuspectClaim),
-    /// Tells of new results.
-    #[prost(message, tag = "13")]
-    JobProgress(JobProgress),
+    /// Tells what the sender is on the link.
+    #[prost(message, tag = "14")]
+    LinkRole(LinkRole),
+    /// Carries a message to all instances.
+    #[prost(message, tag = "15")]
+    Flood(Flood),
+    /// Carries a message to one instance.
+    #[prost(message, tag = "16")]
+    Forward(Forward),
+    /// Tells of requests in flight.
+    #[prost(message, tag = "17")]
+    Loads(Loads),
+    /// Asks a relay for keys.
+    #[prost(message, tag = "18")]
+    ReadRequest(ReadRequest),
+    /// Gives keys.
+    #[prost(message, tag = "19")]
+    ReadAnswer(ReadAnswer),
+    /// Hands a job over to be run.
+    #[prost(message, tag = "22")]
+    JobAccepted(JobAccepted),
+    /// Asks about a job.
+    #[prost(message, tag = "20")]
+    JobRequest(JobRequest),
+    /// Tells of a job.
+    #[prost(message, tag = "21")]
+    JobAnswer(JobAnswer),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
-    #[prost(oneof = "Message", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(
+        oneof = "Message",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+    )]
     message: Option<Message>,
 }
 
--- a/crates/peer/tests/heartbeat_rate.rs
+++ b/crates/peer/tests/heartbeat_rate.rs
@@ -29,7 +29,7 @@
         .map(|(n, hub)| Peer { id: format!("i{n:02}").into(), address: hub.address() })
         .collect();
     for hub in &hubs {
-        hub.set_peers(&peers);
+        hub.set_dialled(&peers);
     }
     let deadline = Instant::now() + Duration::from_secs(10);
     while hubs.iter().any(|hub| hub.linked().len() < 52) {
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -76,7 +76,7 @@
     let a = Node::start("a", 1).await;
     let b = Node::start("b", 1).await;
     let relay = Relay::start(b.hub.address()).await.expect("loopback port");
-    a.hub.set_peers(&[peer_at("b", relay.address())]);
+    a.hub.set_dialled(&[peer_at("b", relay.address())]);
     assert_eq!(a.next().await, up("b", 1));
     assert_eq!(b.next().await, up("a", 1));
     (a, b, relay)
@@ -86,7 +86,7 @@
 #[async_std::test]
 async fn a_pair_keeps_one_connection_dialled_by_the_lower_id_and_carries_messages_in_order() {
     let (a, b, relay) = linked().await;
-    b.hub.set_peers(&[a.peer("a")]);
+    b.hub.set_dialled(&[a.peer("a")]);
     a.hub.send("b", &loan(1)).expect("linked");
     a.hub.send("b", &loan(2)).expect("linked");
     assert_eq!(b.next_of_link().await, from("a", loan(1)));
@@ -106,6 +106,41 @@
     assert!(a.hub.stats().messages_sent >= 3 && b.hub.stats().messages_received >= 3);
 }
 
+// Guards against two connections, or none, between instances that dial each other at the same time.
+#[async_std::test]
+async fn two_instances_that_dial_each_other_agree_on_one_link() {
+    for n in 0..20 {
+        let (a, b) = (Node::start("a", 1).await, Node::start("b", 1).await);
+        let (to_a, to_b) = (a.peer("a"), b.peer("b"));
+        match n % 2 {
+            0 => (a.hub.set_dialled(&[to_b]), b.hub.set_dialled(&[to_a])),
+            _ => (b.hub.set_dialled(&[to_a]), a.hub.set_dialled(&[to_b])),
+        };
+        task::sleep(Duration::from_millis(300)).await;
+        assert_eq!((a.hub.linked().len(), b.hub.linked().len()), (1, 1));
+        let before = a.hub.stats().links_up;
+        task::sleep(Duration::from_millis(300)).await;
+        assert_eq!(a.hub.stats().links_up, before, "the link stays");
+        a.hub.send("b", &loan(1)).expect("linked");
+    }
+}
+
+// Guards against an instance that is shut out after its time of day has jumped back, since its incarnation is that time.
+#[async_std::test]
+async fn a_restarted_instance_is_linked_at_once_though_its_incarnation_is_lower() {
+    let b = Node::start("b", 1).await;
+    let first = Node::start("a", 9_000).await;
+    first.hub.set_dialled(&[b.peer("b")]);
+    assert_eq!(b.next_of_link().await, up("a", 9_000));
+    drop(first);
+    assert_eq!(b.next_of_link().await, down("a", 9_000, DownReason::Cut));
+    let second = Node::start("a", 3_000).await;
+    let started = Instant::now();
+    second.hub.set_dialled(&[b.peer("b")]);
+    assert_eq!(b.next_of_link().await, up("a", 3_000));
+    assert!(started.elapsed() < Duration::from_millis(500));
+}
+
 // Guards against a peer that is taken for alive on a connection that went silent.
 #[async_std::test]
 async fn a_silent_link_is_closed_after_a_second_and_redialled() {
@@ -145,10 +180,10 @@
 async fn a_new_incarnation_replaces_the_link_and_an_old_one_is_refused() {
     let b = Node::start("b", 1).await;
     let first = Node::start("a", 5).await;
-    first.hub.set_peers(&[b.peer("b")]);
+    first.hub.set_dialled(&[b.peer("b")]);
     assert_eq!(b.next_of_link().await, up("a", 5));
     let second = Node::start("a", 6).await;
-    second.hub.set_peers(&[b.peer("b")]);
+    second.hub.set_dialled(&[b.peer("b")]);
     assert_eq!(b.next_of_link().await, down("a", 5, DownReason::Replaced));
     assert_eq!(b.next_of_link().await, up("a", 6));
     // The former process goes on dialling.
@@ -189,10 +224,10 @@
         let closed = future::timeout(Duration::from_secs(1), stream.read_to_end(&mut rest)).await;
         assert!(closed.is_ok(), "the connection is closed");
     }
-    // A frame in the place of the greeting, a greeting of a higher id, and one that never comes.
+    // A frame in the place of the greeting, a greeting with the hub's own id, and one that never comes.
     let mut no_hello = TcpStream::connect(b.hub.address()).await.expect("the hub listens");
     no_hello.write_all(&malformed).await.expect("connected");
-    let _higher = send_raw(&b, "c", &[]).await;
+    let _itself = send_raw(&b, "b", &[]).await;
     let _quiet = TcpStream::connect(b.hub.address()).await.expect("the hub listens");
     task::sleep(Duration::from_millis(1_300)).await;
     let stats = b.hub.stats();
@@ -237,16 +272,16 @@
 #[async_std::test]
 async fn a_peer_that_is_taken_out_is_not_linked_any_more() {
     let (a, b, relay) = linked().await;
-    a.hub.set_peers(&[]);
+    a.hub.set_dialled(&[]);
     assert_eq!(a.next_of_link().await, down("b", 1, DownReason::Removed));
     assert_eq!(b.next_of_link().await, down("a", 1, DownReason::Cut));
     task::sleep(Duration::from_millis(500)).await;
     assert!(a.hub.linked().is_empty() && b.hub.linked().is_empty());
     // Nor if it is taken out while the link is being opened.
     relay.delay(Duration::from_millis(200));
-    a.hub.set_peers(&[peer_at("b", relay.address())]);
+    a.hub.set_dialled(&[peer_at("b", relay.address())]);
     task::sleep(Duration::from_millis(100)).await;
-    a.hub.set_peers(&[]);
+    a.hub.set_dialled(&[]);
     task::sleep(Duration::from_millis(1_500)).await;
     assert!(a.hub.linked().is_empty() && b.hub.linked().is_empty());
 }
@@ -260,7 +295,7 @@
         ..HubConfig::new("a".into(), 1, "z1".into(), listen)
     };
     let (a, b) = (Node::start_with(slow).await, Node::start("b", 1).await);
-    a.hub.set_peers(&[b.peer("b")]);
+    a.hub.set_dialled(&[b.peer("b")]);
     assert_eq!(b.next().await, up("a", 1));
     task::sleep(Duration::from_millis(100)).await;
     let set = Instant::now();
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -17,7 +17,7 @@
     request::{Action, Class, Execution, Fingerprint, Reason, Refusal, Request},
     service::{Held, Phase, Service},
     settings::Settings,
-    target::Target,
+    target::{Counts, Target},
 };
 
 /// Decides which request goes to which target, and when.
@@ -224,14 +224,13 @@
 
     /// Returns the services for which online requests wait, for heartbeats to peers.
     pub fn waiting_services(&self) -> Vec<QualifiedName> {
-        // Requests for which batch stops are placed within milliseconds.
-        let waiting = self.services.values().filter(|it| it.online.queue.len() > it.stopping());
+        let waiting = self.services.values().filter(|it| it.waits(Class::Online));
         waiting.map(|it| it.name.clone()).collect()
     }
 
     /// Returns the services for which batch requests wait, for heartbeats to peers.
     pub fn batch_waiting_services(&self) -> Vec<QualifiedName> {
-        let waiting = self.services.values().filter(|it| it.batch.queue.len() > 0);
+        let waiting = self.services.values().filter(|it| it.waits(Class::Batch));
         waiting.map(|it| it.name.clone()).collect()
     }
 
@@ -461,11 +460,14 @@
 }
 
 fn own_load(service: &Service, target: &Target) -> PeerLoad {
+    let Counts { online, batch, suspects } = target.own;
     PeerLoad {
         service: service.name.clone(),
         target: target.info.name.clone(),
-        online: target.own.online,
-        batch: target.own.batch,
-        suspects: target.own.suspects,
+        online,
+        batch,
+        suspects,
+        contending: if service.waits(Class::Online) { online } else { 0 },
+        batch_contending: if service.waits(Class::Batch) { batch } else { 0 },
     }
 }
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -99,9 +99,10 @@
             failure_domain: Name,
             /// The peer's requests in flight; targets without any may be left out.
             loads: Vec<PeerLoad>,
-            /// The services for which online requests wait at the peer.
+            /// The services for which online requests wait at the peer. A peer that speaks for several instances names a
+            /// service once for each instance at which they do.
             waiting: Vec<QualifiedName>,
-            /// The services for which batch requests wait at the peer.
+            /// The services for which batch requests wait at the peer, likewise.
             batch_waiting: Vec<QualifiedName>,
         },
         /// A peer or the store holds a verdict.
@@ -194,6 +195,10 @@
         pub batch: u32,
         /// Suspects in flight; another suspect on the target could be blamed for their crash.
         pub suspects: u32,
+        /// The online requests in flight of instances at which others for the service wait.
+        pub contending: u32,
+        /// The batch requests in flight of instances at which others for the service wait.
+        pub batch_contending: u32,
     }
 }
 
--- a/crates/policy/src/dispatch/service.rs
+++ b/crates/policy/src/dispatch/service.rs
@@ -154,6 +154,15 @@
         usable.map(|it| it.stopping as usize).sum()
     }
 
+    /// Returns whether requests wait for which no slot is about to come free.
+    pub fn waits(&self, class: Class) -> bool {
+        match class {
+            // Requests for which batch stops are placed within milliseconds.
+            Class::Online => self.online.queue.len() > self.stopping(),
+            Class::Batch => self.batch.queue.len() > 0,
+        }
+    }
+
     /// Notes how long a completed request held its slot.
     pub fn record_hold(&mut self, held_for: Duration, cost: u64) {
         const WEIGHT_OF_NEWEST: f64 = 0.05;
--- a/crates/policy/src/dispatch/upkeep.rs
+++ b/crates/policy/src/dispatch/upkeep.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fleet::QualifiedName;
 use stdx::{Name, Timestamp};
 
 use super::{
@@ -172,12 +173,13 @@
         Sign::Add => *count += by,
         Sign::Subtract => *count -= by,
     };
-    let waits = peer.waiting.contains(&service.name);
-    let batch_waits = peer.batch_waiting.contains(&service.name);
+    let instances =
+        |waiting: &[QualifiedName]| waiting.iter().filter(|it| **it == service.name).count() as u32;
+    let (contenders, batch_contenders) = (instances(&peer.waiting), instances(&peer.batch_waiting));
     let shared = |it: &&mut Target| it.info.failure_domain == peer.failure_domain;
     for target in service.targets.values_mut().filter(shared) {
-        change(&mut target.contenders, u32::from(waits));
-        change(&mut target.batch_contenders, u32::from(batch_waits));
+        change(&mut target.contenders, contenders);
+        change(&mut target.batch_contenders, batch_contenders);
     }
     for load in peer.loads.iter().filter(|it| it.service == service.name) {
         let Some(target) = service.targets.get_mut(&load.target) else { continue };
@@ -185,8 +187,8 @@
         change(&mut target.peers.batch, load.batch);
         change(&mut target.peers.suspects, load.suspects);
         if target.info.failure_domain == peer.failure_domain {
-            change(&mut target.contending, if waits { load.online } else { 0 });
-            change(&mut target.batch_contending, if batch_waits { load.batch } else { 0 });
+            change(&mut target.contending, load.contending);
+            change(&mut target.batch_contending, load.batch_contending);
         }
         target.note_peak();
     }
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -8,6 +8,7 @@
 mod tests;
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -77,6 +78,8 @@
         ReadAll {
             /// The number of the read.
             read: u64,
+            /// Whether the records must be as new as the read; otherwise a copy that lags will do.
+            must_be_current: bool,
         },
         /// Write a record if it still has the expected revision, and pass the outcome to [`SlotKeeper::on_outcome`].
         CompareAndSwap {
@@ -140,20 +143,35 @@
     sent_at: Timestamp,
 }
 
-/// Returns which of the instances that admit callers hold slots: the first ones of each failure domain, by name.
+/// An instance that may hold slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// The name of the instance.
+    pub name: &'a Name,
+    /// Its failure domain.
+    pub failure_domain: &'a Name,
+    /// Its processor share in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// Returns which of the instances that admit callers hold slots: in each failure domain those with the largest processor
+/// share, which all others borrow from, and of equal ones the first by name.
 ///
 /// All instances compute the same from the same list.
-pub fn holders<'a>(instances: impl IntoIterator<Item = (&'a Name, &'a Name)>) -> BTreeSet<Name> {
-    let mut by_domain: BTreeMap<&Name, Vec<&Name>> = BTreeMap::new();
-    for (instance, domain) in instances {
-        by_domain.entry(domain).or_default().push(instance);
+pub fn holders<'a>(candidates: impl IntoIterator<Item = Candidate<'a>>) -> BTreeSet<Name> {
+    let mut by_domain: BTreeMap<&Name, Vec<Candidate<'_>>> = BTreeMap::new();
+    for candidate in candidates {
+        by_domain.entry(candidate.failure_domain).or_default().push(candidate);
     }
     let mut holders = BTreeSet::new();
-    for names in by_domain.values_mut() {
-        // By length first, so that numbers without leading zeros stand in order.
-        names.sort_unstable_by_key(|it| (it.len(), *it));
-        let count = if names.len() <= MAX_HOLDERS { names.len() } else { HOLDERS_OF_LARGE_DOMAIN };
-        holders.extend(names.iter().take(count).map(|it| (*it).clone()));
+    for candidates in by_domain.values_mut() {
+        // Names by length first, so that numbers without leading zeros stand in order.
+        candidates.sort_unstable_by_key(|it| (Reverse(it.capacity), it.name.len(), it.name));
+        let count = match candidates.len() {
+            few @ ..=MAX_HOLDERS => few,
+            _ => HOLDERS_OF_LARGE_DOMAIN,
+        };
+        holders.extend(candidates.iter().take(count).map(|it| it.name.clone()));
     }
     holders
 }
@@ -266,7 +284,9 @@
         if self.read_at.is_none_or(|at| now.since(at) >= interval) {
             self.read_at = Some(now);
             self.reads += 1;
-            actions.push(SlotAction::ReadAll { read: self.reads });
+            let must_be_current = self.holders.contains(&self.id)
+                || self.slots.iter().any(|it| it.holder() == Some(&self.id));
+            actions.push(SlotAction::ReadAll { read: self.reads, must_be_current });
         }
         for slot in &mut self.slots {
             if slot.use_until.is_some_and(|until| until <= now) {
--- a/crates/policy/src/slots/tests.rs
+++ b/crates/policy/src/slots/tests.rs
@@ -178,7 +178,7 @@
         for action in self.keepers[index].tick(now, &live) {
             let is_lost = self.is_cut[index] || self.rng.random_bool(faults);
             match action {
-                SlotAction::ReadAll { read } if !is_lost => {
+                SlotAction::ReadAll { read, .. } if !is_lost => {
                     self.reads += 1;
                     self.keepers[index].on_read(now, read, &self.store);
                 }
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -90,7 +90,15 @@
     }
 
     pub fn peer(&mut self, target: &str, online: u32, batch: u32, suspects: u32) -> Vec<Action> {
-        let load = PeerLoad { service: service(), target: target.into(), online, batch, suspects };
+        let load = PeerLoad {
+            service: service(),
+            target: target.into(),
+            online,
+            batch,
+            suspects,
+            contending: 0,
+            batch_contending: 0,
+        };
         self.event(Event::PeerInFlight {
             peer: "peer".into(),
             failure_domain: "z1".into(),
