Reckon due times of jobs by steady clocks, and let daemons at rest tick rarely

The due and give-up times of a job were the accepting daemon's time of day compared with the running daemon's, so that items could be given up seconds before their time. The process clock stood still while a machine was suspended, so that loans and leases seemed to last longer there. And each control thread woke 50 times a second whether or not anything waited, on 255 daemons.

Change: a daemon counts from the moment at which it hears of a job; one that finds a job in a listing takes the time of day for the order of items alone. The process clock is the one that goes on during a suspension. The control thread ticks every 200 ms while no request waits, no target recovers and nothing is about to be decided.

Tests: crates/jobs/tests/times.rs (items were due and given up by the time of day before), a_dispatcher_is_at_rest_only_while_time_changes_nothing. Estimates are still cut to whole milliseconds, as the test of patience expects.

--- a/crates/borageshed/src/clock.rs
+++ b/crates/borageshed/src/clock.rs
@@ -1,35 +1,32 @@
 //! The process clock, the only place where the daemon reads time.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::time::{ClockId, clock_gettime};
 use stdx::Timestamp;
 
-/// A clock that starts at zero when the process starts.
+/// A clock that starts at zero when the process starts. It goes on while the machine is suspended, so that what was valid for
+/// a time before, such as a lease or a loan, is not taken for valid after.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
-    /// Returns the monotonic time since the start.
+    /// Returns the time since the start.
     pub fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.start.elapsed()
+        Timestamp::ZERO + since_boot().saturating_sub(self.start)
     }
 }
 
-/// Returns the time since the machine started, which goes on while the machine is suspended, unlike [`Clock::now`].
-pub fn since_boot() -> Timestamp {
-    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
-        Ok(time) => Timestamp::ZERO + Duration::from(time),
-        // The system call takes any clock that this kernel has, and every one has this.
-        Err(_) => Timestamp::ZERO,
-    }
+fn since_boot() -> Duration {
+    // The system call fails only for clocks that the kernel lacks, and every one has this.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default()
 }
 
 /// Returns the seconds since 1970 by the wall clock, which only appears in answers and deadlines of jobs.
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -19,7 +19,9 @@
 use crate::status::{ControlStatus, LoadStatus, ServiceStatus};
 
 /// The longest pause between two ticks; queue deadlines, probes and slots are checked this often.
-pub const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(20);
+/// The same while nothing waits for the passing of time, so that idle daemons do next to nothing.
+const REST_TICK: Duration = Duration::from_millis(200);
 
 /// Everything that the control thread owns.
 pub struct State {
@@ -151,9 +153,14 @@
         }
     }
 
-    /// Returns when a tick is due before its regular time.
-    pub fn next_tick(&self) -> Option<Timestamp> {
-        self.rate.as_ref().and_then(|it| it.limiter.next_tick())
+    /// Returns when the next tick is due.
+    pub fn next_tick(&self) -> Timestamp {
+        let regular = match self.dispatcher.is_at_rest() && self.rate_waiting.is_empty() {
+            true => self.ticked_at + REST_TICK,
+            false => self.ticked_at + TICK,
+        };
+        let rate = self.rate.as_ref().and_then(|it| it.limiter.next_tick());
+        rate.map_or(regular, |it| it.min(regular))
     }
 
     /// Does what is due by time.
--- a/crates/borageshed/src/control/thread.rs
+++ b/crates/borageshed/src/control/thread.rs
@@ -10,10 +10,7 @@
 use slog::Logger;
 use stdx::Name;
 
-use super::{
-    ControlEvent, ControlHandle, Effect,
-    state::{State, TICK},
-};
+use super::{ControlEvent, ControlHandle, Effect, state::State};
 use crate::clock::Clock;
 
 /// Events handled between two looks at the clock for a tick, so that a flood of events cannot stop time.
@@ -64,7 +61,7 @@
 fn run(mut state: State, clock: Clock, rx: &Receiver<ControlEvent>) {
     loop {
         let now = clock.now();
-        let pause = state.next_tick().map_or(TICK, |at| at.since(now)).min(TICK);
+        let pause = state.next_tick().since(now);
         match rx.recv_timeout(pause) {
             Ok(ControlEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
             Ok(event) => state.handle(clock.now(), event),
--- a/crates/borageshed/src/job_work/claiming.rs
+++ b/crates/borageshed/src/job_work/claiming.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use jobs::{Item, JobId, JobRecord, JobRun, OpenJob, claim, model};
+use jobs::{Item, JobId, JobRecord, JobRun, JobTimes, OpenJob, Sighting, claim, model};
 use kv_store::{Committed, LeaseId, Revision};
 use peer::JobAccepted;
 use stdx::Name;
 
-use crate::shared::Shared;
+use crate::{clock, shared::Shared};
 
 /// A job as whoever accepted it has handed it over.
 #[derive(Debug)]
@@ -54,14 +54,16 @@
     cx: &Shared,
     lease: LeaseId,
     handed: Handed,
+    seen: Sighting,
 ) -> kv_store::Result<Option<JobRun>> {
     let Handed { id, open, record, revision, items } = handed;
     let transaction = claim::transaction(&id, &cx.settings.instance, lease);
     match cx.store.commit(&transaction.expect(id.record(), revision)).await? {
         Committed::Won(_) => {
-            Ok(Some(JobRun::new(id, record, revision, open.route, items, Vec::new())))
+            let times = times(cx, &record, seen);
+            Ok(Some(JobRun::new(id, record, revision, open.route, items, Vec::new(), times)))
         }
-        Committed::Lost(_) => claim(cx, &id, lease, open.route).await,
+        Committed::Lost(_) => claim(cx, &id, lease, open.route, seen).await,
         Committed::Unknown => Err(unconfirmed()),
     }
 }
@@ -76,6 +78,7 @@
     id: &JobId,
     lease: LeaseId,
     route: Name,
+    seen: Sighting,
 ) -> kv_store::Result<Option<JobRun>> {
     let transaction = claim::transaction(id, &cx.settings.instance, lease);
     match cx.store.commit(&transaction).await? {
@@ -85,7 +88,7 @@
         Committed::Lost(_) => return Ok(None),
         Committed::Unknown => return Err(unconfirmed()),
     }
-    load_job(cx, id, route).await
+    load_job(cx, id, route, seen).await
 }
 
 fn unconfirmed() -> kv_store::Error {
@@ -96,7 +99,16 @@
     entry.lease == Some(lease) && entry.value == cx.settings.instance.as_bytes()
 }
 
-async fn load_job(cx: &Shared, id: &JobId, route: Name) -> kv_store::Result<Option<JobRun>> {
+fn times(cx: &Shared, record: &JobRecord, seen: Sighting) -> JobTimes {
+    JobTimes::of(record, seen, cx.clock.now(), clock::unix_millis())
+}
+
+async fn load_job(
+    cx: &Shared,
+    id: &JobId,
+    route: Name,
+    seen: Sighting,
+) -> kv_store::Result<Option<JobRun>> {
     let damaged = |key: &str, e: serde_json::Error| {
         kv_store::Error::Protocol(format!("the stored value {key} cannot be read: {e}"))
     };
@@ -115,7 +127,8 @@
         false => stored_results(cx, id, record.listed.len()).await?,
     };
     let revision: Revision = entry.mod_revision;
-    Ok(Some(JobRun::new(id.clone(), record, revision, route, items, stored)))
+    let times = times(cx, &record, seen);
+    Ok(Some(JobRun::new(id.clone(), record, revision, route, items, stored, times)))
 }
 
 /// Reads the results that the record lists.
--- a/crates/borageshed/src/job_work/lease.rs
+++ b/crates/borageshed/src/job_work/lease.rs
@@ -7,7 +7,7 @@
 use slog::{debug, info};
 use stdx::Timestamp;
 
-use crate::{clock, leases, shared::Shared};
+use crate::{leases, shared::Shared};
 
 /// The time to live; the jobs of a daemon that is lost are taken over after it.
 const TTL: Duration = Duration::from_secs(4);
@@ -23,7 +23,7 @@
 pub enum LeaseEvent {
     /// A lease was granted.
     Granted(LeaseId),
-    /// The lease holds until then at least, by [`clock::since_boot`].
+    /// The lease holds until then at least.
     HoldsUntil(Timestamp),
     /// The lease is gone; whatever was claimed under it may be taken over.
     Lost,
@@ -32,7 +32,7 @@
 /// Keeps a lease until the daemon drains.
 pub async fn run(cx: Arc<Shared>, events: async_channel::Sender<LeaseEvent>) {
     while !cx.draining.is_set() && !cx.retiring.is_set() {
-        let asked_at = clock::since_boot();
+        let asked_at = cx.clock.now();
         let lease = match cx.store.lease_grant(TTL).await {
             Ok(lease) => lease,
             Err(e) => {
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -10,7 +10,7 @@
 use futures::future::{AbortHandle, Either, abortable, select};
 use http_types::{Method, headers::HeaderValue};
 use jobs::{
-    ItemEnd, JobId, JobRecord, JobRun, OpenJob, claim,
+    ItemEnd, JobId, JobRun, OpenJob, Sighting, claim,
     order::{Candidate, RunTimes},
 };
 use kv_store::{Committed, LeaseId};
@@ -26,7 +26,6 @@
     readers::{Known, Question, Readers},
 };
 use crate::{
-    clock,
     online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS, event_data::EventData},
     peers::Peers,
     shared::Shared,
@@ -72,10 +71,12 @@
     events: async_channel::Sender<Event>,
     peers: Peers,
     lease: Option<LeaseId>,
-    /// Until when the lease surely holds, by the clock that counts the time in which the machine is suspended.
+    /// Until when the lease surely holds.
     lease_holds_until: Timestamp,
     readers: Readers,
     open: BTreeMap<JobId, OpenJob>,
+    /// How the unfinished jobs were heard of.
+    seen: BTreeMap<JobId, Sighting>,
     /// The jobs that are claimed, with the instance that did.
     claimed: BTreeMap<JobId, Name>,
     /// The jobs that were handed over and are not claimed yet.
@@ -165,6 +166,7 @@
         lease_holds_until: Timestamp::ZERO,
         readers: Readers::default(),
         open: BTreeMap::new(),
+        seen: BTreeMap::new(),
         claimed: BTreeMap::new(),
         handed: BTreeMap::new(),
         claim_at: BTreeMap::new(),
@@ -222,7 +224,7 @@
             Event::Committed { id, claim, outcome } => self.on_committed(&id, claim, outcome),
             Event::Accepted(handed) => self.on_accepted(*handed),
             Event::Asked(question) => self.readers.ask(self.cx.clock.now(), question),
-            Event::Tick => self.has_time = self.judge_time(clock::unix_millis()),
+            Event::Tick => self.has_time = self.judge_time(self.cx.clock.now()),
         }
     }
 
@@ -232,25 +234,31 @@
         if self.own.contains_key(&id) || self.claimed.contains_key(&id) {
             return;
         }
+        let now = self.cx.clock.now();
         self.handed.insert(id.clone(), handed);
         self.open.insert(id.clone(), open);
+        self.seen.entry(id.clone()).or_insert(Sighting { at: now, is_fresh: true });
         // Whoever hands a job over takes this daemon for the one that claims it first.
-        self.claim_at.insert(id, self.cx.clock.now());
+        self.claim_at.insert(id, now);
     }
 
     /// Returns whether all items that wait would end well before they are due.
-    fn judge_time(&self, unix_ms: u64) -> bool {
+    fn judge_time(&self, now: Timestamp) -> bool {
         let waiting = self.own.values().flat_map(|job| job.run.waiting().map(move |it| (job, it)));
         let mut items: Vec<_> = waiting.map(|(job, index)| candidate(job, index)).collect();
-        items.sort_unstable_by_key(|it| it.due_ms);
+        items.sort_unstable_by_key(|it| it.due_at);
         let slots = self.started().saturating_sub(self.waiting).max(MIN_SLOTS);
-        self.run_times.has_time(items, slots, unix_ms)
+        self.run_times.has_time(items, slots, now)
     }
 
     fn index_changed(&mut self, change: IndexChange) {
         let now = self.cx.clock.now();
         match change {
             IndexChange::Listed { open, claimed } => {
+                let seen = Sighting { at: now, is_fresh: false };
+                for id in open.keys() {
+                    self.seen.entry(id.clone()).or_insert(seen);
+                }
                 let closed: Vec<JobId> =
                     self.own.keys().filter(|it| !open.contains_key(*it)).cloned().collect();
                 self.open = open;
@@ -262,11 +270,13 @@
                     self.open.entry(id.clone()).or_insert_with(|| handed.open.clone());
                 }
                 self.claim_at.retain(|it, _| self.open.contains_key(it));
+                self.seen.retain(|it, _| self.open.contains_key(it));
                 for id in self.open.keys().cloned().collect::<Vec<_>>() {
                     self.plan_claim(now, id);
                 }
             }
             IndexChange::Open(id, job) => {
+                self.seen.entry(id.clone()).or_insert(Sighting { at: now, is_fresh: true });
                 if self.open.insert(id.clone(), job).is_none() {
                     self.plan_claim(now, id);
                 }
@@ -275,6 +285,7 @@
                 self.open.remove(&id);
                 self.claim_at.remove(&id);
                 self.handed.remove(&id);
+                self.seen.remove(&id);
                 if self.own.get(&id).is_some_and(|it| !it.run.is_ended()) {
                     self.drop_job(&id, "job ended");
                 }
@@ -308,13 +319,12 @@
 
     fn act(&mut self) {
         let now = self.cx.clock.now();
-        let unix_ms = clock::unix_millis();
         self.claim_due(now);
         for job in self.own.values_mut() {
-            job.run.give_up_late(unix_ms);
+            job.run.give_up_late(now);
         }
-        self.start_items(now, unix_ms);
-        self.commit(now, unix_ms);
+        self.start_items(now);
+        self.commit(now);
         self.answer_readers(now);
     }
 
@@ -323,7 +333,7 @@
         if !self.readers.has_waiting() {
             return;
         }
-        let holds = clock::since_boot() < self.lease_holds_until;
+        let holds = now < self.lease_holds_until;
         let own_name = &self.cx.settings.instance;
         let (own, open, claimed) = (&self.own, &self.open, &self.claimed);
         let replies = self.readers.answer(now, |id| {
@@ -349,10 +359,12 @@
             let Some(route) = self.open.get(&id).map(|it| it.route.clone()) else { continue };
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
             let handed = self.handed.remove(&id);
+            let seen = Sighting { at: now, is_fresh: false };
+            let seen = self.seen.get(&id).copied().unwrap_or(seen);
             task::spawn(async move {
                 let claimed = match handed {
-                    Some(handed) => claiming::claim_handed(&cx, lease, handed).await,
-                    None => claiming::claim(&cx, &id, lease, route).await,
+                    Some(handed) => claiming::claim_handed(&cx, lease, handed, seen).await,
+                    None => claiming::claim(&cx, &id, lease, route, seen).await,
                 };
                 let event = match claimed {
                     Ok(loaded) => Event::Claimed { id, lease, loaded: loaded.map(Box::new) },
@@ -411,7 +423,7 @@
             }
             ItemEnd::Impossible | ItemEnd::Failed => {}
         }
-        job.run.on_end(index, ended.end, clock::unix_millis());
+        job.run.on_end(index, ended.end, self.cx.clock.now());
     }
 
     /// Returns the number of items that run or wait in the dispatcher.
@@ -420,17 +432,17 @@
     }
 
     /// Starts the most urgent items, as far as the dispatcher takes them.
-    fn start_items(&mut self, now: Timestamp, unix_ms: u64) {
+    fn start_items(&mut self, now: Timestamp) {
         loop {
             if self.waiting >= MAX_WAITING || self.started() >= MAX_ITEMS {
                 return;
             }
-            let Some((id, index)) = self.most_urgent(now, unix_ms) else { return };
-            self.start_item(&id, index, unix_ms);
+            let Some((id, index)) = self.most_urgent(now) else { return };
+            self.start_item(&id, index);
         }
     }
 
-    fn most_urgent(&self, now: Timestamp, unix_ms: u64) -> Option<(JobId, usize)> {
+    fn most_urgent(&self, now: Timestamp) -> Option<(JobId, usize)> {
         let waiting = self.own.values().flat_map(|job| {
             let ready = job
                 .run
@@ -438,20 +450,19 @@
                 .filter(|it| job.begun.get(it).is_none_or(|begun| begun.not_before <= now));
             ready.map(move |index| (job, index))
         });
-        let place = |(job, index): &(&OwnJob, usize)| {
-            self.run_times.place(&candidate(job, *index), unix_ms)
-        };
+        let place =
+            |(job, index): &(&OwnJob, usize)| self.run_times.place(&candidate(job, *index), now);
         waiting.min_by_key(place).map(|(job, index)| (job.run.id().clone(), index))
     }
 
-    fn start_item(&mut self, id: &JobId, index: usize, unix_ms: u64) {
+    fn start_item(&mut self, id: &JobId, index: usize) {
         let Some(job) = self.own.get_mut(id) else { return };
         job.run.take_item(index);
         let output = match job.begun.get_mut(&index) {
             Some(begun) => std::mem::take(&mut begun.output),
             None => EventData::default(),
         };
-        let call = call_of(&self.cx, job.run.record(), job.run.item(index), unix_ms);
+        let call = call_of(&self.cx, &job.run, job.run.item(index));
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
         let claim = job.claim;
         let terms = ItemTerms {
@@ -472,9 +483,9 @@
         task::spawn(run);
     }
 
-    fn commit(&mut self, now: Timestamp, unix_ms: u64) {
+    fn commit(&mut self, now: Timestamp) {
         for job in self.own.values_mut().filter(|it| it.may_commit(now)) {
-            let Some(transaction) = job.run.commit(unix_ms) else { continue };
+            let Some(transaction) = job.run.commit(now) else { continue };
             job.commit_after = now + COMMIT_GAP;
             let (id, claim) = (job.run.id().clone(), job.claim);
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
@@ -544,14 +555,15 @@
 
 fn candidate(job: &OwnJob, index: usize) -> Candidate {
     Candidate {
-        due_ms: job.run.record().due_ms,
+        due_at: job.run.times().due_at,
         tokens: job.run.item(index).tokens,
         events: job.begun.get(&index).map_or(0, |it| it.output.events()),
     }
 }
 
-fn call_of(cx: &Shared, record: &JobRecord, item: &jobs::Item, unix_ms: u64) -> Call {
-    let left = Duration::from_millis(record.give_up_ms.saturating_sub(unix_ms));
+fn call_of(cx: &Shared, run: &JobRun, item: &jobs::Item) -> Call {
+    let record = run.record();
+    let left = run.times().give_up_at.since(cx.clock.now());
     let time = left.clamp(Duration::from_secs(1), MAX_ITEM_TIME);
     let header = |(name, value): (&Name, &Name)| {
         let value = HeaderValue::from_bytes(value.as_bytes().to_vec()).ok()?;
--- a/crates/borageshed/src/leases.rs
+++ b/crates/borageshed/src/leases.rs
@@ -7,10 +7,10 @@
 use slog::{debug, warn};
 use stdx::Timestamp;
 
-use crate::{clock, shared::Shared};
+use crate::shared::Shared;
 
 /// Renews a lease until it is gone or the daemon drains, and ends it then. `purpose` names what depends on it in the log;
-/// `on_renewed` is told when a renewal that took effect was sent, by [`clock::since_boot`].
+/// `on_renewed` is told when a renewal that took effect was sent.
 ///
 /// A service that does not answer says nothing about the lease, so an outage does not end it here.
 pub async fn keep(
@@ -27,7 +27,7 @@
             }
             return;
         }
-        let sent_at = clock::since_boot();
+        let sent_at = cx.clock.now();
         match cx.store.lease_keep_alive(lease).await {
             Ok(_) => {
                 cx.platform_answered();
--- a/crates/borageshed/tests/readers.rs
+++ b/crates/borageshed/tests/readers.rs
@@ -4,7 +4,7 @@
 
 use borageshed::job_work::readers::{Known, Question, Readers, Reply};
 use fleet::{BatchTerms, Kind, QualifiedName};
-use jobs::{Item, ItemEnd, JobId, JobRecord, JobRun, Submission, model::Bytes};
+use jobs::{Item, ItemEnd, JobId, JobRecord, JobRun, JobTimes, Sighting, Submission, model::Bytes};
 use kv_store::Revision;
 use peer::{JobRequest, JobStatus};
 use stdx::{Name, Timestamp};
@@ -38,12 +38,14 @@
     };
     let transaction = submission.transaction().expect("valid");
     let record: JobRecord = serde_json::from_slice(&transaction.writes[0].value).expect("a record");
-    JobRun::new(submission.id, record, Revision(5), submission.route, submission.items, vec![])
+    let times = JobTimes::of(&record, Sighting { at: at(0), is_fresh: true }, at(0), 0);
+    let Submission { id, route, items, .. } = submission;
+    JobRun::new(id, record, Revision(5), route, items, vec![], times)
 }
 
 fn finish(run: &mut JobRun, index: usize, text: &str) {
     run.take_item(index);
-    run.on_end(index, ItemEnd::Completed { text: text.to_owned() }, 0);
+    run.on_end(index, ItemEnd::Completed { text: text.to_owned() }, at(0));
 }
 
 fn ask(readers: &mut Readers, now: Timestamp, after: u32, item: &str) {
@@ -67,7 +69,7 @@
 fn a_result_is_told_as_soon_as_it_is_stored() {
     let (mut readers, mut run) = (Readers::default(), run(&["a", "b"]));
     finish(&mut run, 0, "first");
-    run.commit(0).expect("a result");
+    run.commit(at(0)).expect("a result");
     ask(&mut readers, at(0), 0, "");
     assert!(readers.answer(at(500), |_| owned(&run)).is_empty(), "it is not stored yet");
     run.on_committed(Revision(6));
@@ -112,7 +114,7 @@
 fn a_finished_job_is_told_of_from_memory() {
     let (mut readers, mut run) = (Readers::default(), run(&["a"]));
     finish(&mut run, 0, "all");
-    run.commit(0).expect("a result");
+    run.commit(at(0)).expect("a result");
     run.on_committed(Revision(6));
     readers.keep_ended(run);
     let unknown = |_: &JobId| Known { owned: None, owner: None, is_to_be_claimed: false };
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`run`]: the owner's view of a job: which item is next, and which results are to be stored.
 //! - [`order`]: which item runs next.
 //! - [`claim`]: which daemon takes a job.
+//! - [`times`]: when a job is due, by the steady clock of the daemon that runs it.
 
 pub mod claim;
 pub mod key;
@@ -15,8 +16,10 @@
 pub mod order;
 pub mod run;
 pub mod submission;
+pub mod times;
 
 pub use key::JobId;
 pub use model::{Item, ItemResult, ItemState, JobRecord, OpenJob};
 pub use run::{ItemEnd, JobRun};
 pub use submission::Submission;
+pub use times::{JobTimes, Sighting};
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -24,10 +24,13 @@
         pub total: usize,
         /// The number of parts in which the items are stored.
         pub parts: usize,
-        /// When all results are due, in milliseconds since the Unix epoch.
-        pub due_ms: u64,
-        /// When items may be given up, likewise.
-        pub give_up_ms: u64,
+        /// When the job was accepted, in milliseconds since the Unix epoch by the clock of the accepting instance, which may
+        /// differ by seconds from others.
+        pub received_ms: u64,
+        /// How long after that all results are due, in milliseconds.
+        pub due_after_ms: u64,
+        /// How long after that items may be given up, likewise.
+        pub give_up_after_ms: u64,
         /// How often an item may fail at a target before it ends as failed.
         pub max_attempts: u32,
         /// The index of the item at each position of the results.
@@ -46,8 +49,6 @@
         pub account: Name,
         /// The route that the job was submitted to.
         pub route: Name,
-        /// When all results are due, in milliseconds since the Unix epoch.
-        pub due_ms: u64,
         /// The tokens of the items without a result.
         pub tokens: u64,
     }
--- a/crates/jobs/src/order.rs
+++ b/crates/jobs/src/order.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use stdx::{record_type, value_type};
+use stdx::{Timestamp, record_type, value_type};
 
 /// The weight of the newest item in the moving averages.
 const NEWEST: f64 = 0.1;
@@ -28,8 +28,8 @@
     /// An item that waits.
     #[derive(Copy)]
     pub struct Candidate {
-        /// When its job is due, in milliseconds since the Unix epoch.
-        pub due_ms: u64,
+        /// When its job is due.
+        pub due_at: Timestamp,
         /// The tokens of its prompt and the most tokens of its answer, together.
         pub tokens: u64,
         /// The events of its answer that have arrived.
@@ -42,8 +42,8 @@
     #[derive(Copy)]
     pub struct Place {
         class: PlaceClass,
-        /// The due time, or for late items the time that is left to run, in milliseconds.
-        within: u64,
+        /// The due time since the start of the clock, or for late items the time that is left to run.
+        within: Duration,
     }
 }
 
@@ -98,26 +98,32 @@
         &self,
         items_by_due: impl IntoIterator<Item = Candidate>,
         slots: usize,
-        unix_ms: u64,
+        now: Timestamp,
     ) -> bool {
         let mut work = Duration::ZERO;
         items_by_due.into_iter().all(|item| {
             let left = self.left(&item).mul_f64(INTERRUPTIONS);
             work += left;
             let end = (work / slots.max(1) as u32 + left).mul_f64(PATIENCE_MARGIN);
-            unix_ms + end.as_millis() as u64 <= item.due_ms
+            now + whole_millis(end) <= item.due_at
         })
     }
 
     /// Returns the place of an item among those that wait.
-    pub fn place(&self, item: &Candidate, unix_ms: u64) -> Place {
-        let left = self.left(item).mul_f64(INTERRUPTIONS).as_millis() as u64;
-        let class = match (unix_ms + left <= item.due_ms, item.events > 0) {
+    pub fn place(&self, item: &Candidate, now: Timestamp) -> Place {
+        let left = whole_millis(self.left(item).mul_f64(INTERRUPTIONS));
+        let class = match (now + left <= item.due_at, item.events > 0) {
             (true, true) => PlaceClass::Begun,
             (true, false) => PlaceClass::InTime,
             (false, _) => PlaceClass::Late,
         };
-        let within = if class == PlaceClass::Late { left } else { item.due_ms };
+        let within =
+            if class == PlaceClass::Late { left } else { item.due_at.since(Timestamp::ZERO) };
         Place { class, within }
     }
 }
+
+/// Leaves out the fraction that the arithmetic of estimates brings with it.
+fn whole_millis(time: Duration) -> Duration {
+    Duration::from_millis(time.as_millis() as u64)
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -3,21 +3,23 @@
 use std::{
     collections::{BTreeSet, VecDeque},
     sync::Arc,
+    time::Duration,
 };
 
 use kv_store::{Revision, Transaction};
-use stdx::{Name, record_type};
+use stdx::{Name, Timestamp, record_type};
 
 use crate::{
     key::JobId,
     model::{Item, ItemResult, ItemState, JobRecord, OpenJob, encode},
+    times::JobTimes,
 };
 
 /// Results in one transaction, whose record, index entry, claim and conditions take five more of the 32 operations.
 const MAX_RESULTS: usize = 24;
-/// The least time between two writes of the index entry while items are left, in milliseconds: each of them wakes every
-/// daemon that runs items, and an entry that counts finished items for a while only makes the account wait.
-const INDEX_INTERVAL_MS: u64 = 3_000;
+/// The least time between two writes of the index entry while items are left: each of them wakes every daemon that runs items,
+/// and an entry that counts finished items for a while only makes the account wait.
+const INDEX_INTERVAL: Duration = Duration::from_secs(3);
 /// Verdicts after which an item ends as failed. One may be wrong, since a cut network looks like the loss of the targets behind
 /// it; two keep an item that does kill targets at four of them.
 const MAX_VERDICTS: u32 = 2;
@@ -62,8 +64,9 @@
     saving: Vec<Arc<[u8]>>,
     /// The results that are stored, by position.
     stored: Vec<Arc<[u8]>>,
-    /// When the index entry was written last, in milliseconds since the Unix epoch.
-    indexed_ms: u64,
+    times: JobTimes,
+    /// When the index entry was written last.
+    indexed_at: Option<Timestamp>,
 }
 
 impl JobRun {
@@ -79,6 +82,7 @@
         route: Name,
         items: Vec<Item>,
         stored: Vec<Arc<[u8]>>,
+        times: JobTimes,
     ) -> Self {
         assert_eq!(record.listed.len(), stored.len(), "the record lists the stored results");
         let waiting = (0..items.len()).filter(|it| !record.listed.contains(it)).collect();
@@ -96,7 +100,8 @@
             unsaved: VecDeque::new(),
             saving: Vec::new(),
             stored,
-            indexed_ms: 0,
+            times,
+            indexed_at: None,
         }
     }
 
@@ -110,6 +115,11 @@
         &self.record
     }
 
+    /// Returns when the job is due.
+    pub fn times(&self) -> JobTimes {
+        self.times
+    }
+
     /// Returns an item.
     pub fn item(&self, index: usize) -> &Item {
         &self.items[index]
@@ -142,7 +152,7 @@
     }
 
     /// Notes how a run of an item ended; an item that does not run is left as it is, so that none is stored twice.
-    pub fn on_end(&mut self, index: usize, end: ItemEnd, unix_ms: u64) {
+    pub fn on_end(&mut self, index: usize, end: ItemEnd, now: Timestamp) {
         if !self.running.remove(&index) {
             return;
         }
@@ -152,17 +162,15 @@
             ItemEnd::Failed => {
                 self.failures[index] += 1;
                 let is_spent = self.failures[index] >= self.record.max_attempts;
-                (is_spent || self.may_give_up(unix_ms))
-                    .then_some((ItemState::Failed, String::new()))
+                (is_spent || self.may_give_up(now)).then_some((ItemState::Failed, String::new()))
             }
             ItemEnd::Condemned => {
                 self.verdicts[index] += 1;
                 let is_spent = self.verdicts[index] >= MAX_VERDICTS;
-                (is_spent || self.may_give_up(unix_ms))
-                    .then_some((ItemState::Failed, String::new()))
+                (is_spent || self.may_give_up(now)).then_some((ItemState::Failed, String::new()))
             }
             ItemEnd::Interrupted => {
-                self.may_give_up(unix_ms).then_some((ItemState::Failed, String::new()))
+                self.may_give_up(now).then_some((ItemState::Failed, String::new()))
             }
         };
         match result {
@@ -172,8 +180,8 @@
     }
 
     /// Gives up the items that wait, if their time is over.
-    pub fn give_up_late(&mut self, unix_ms: u64) {
-        if !self.may_give_up(unix_ms) {
+    pub fn give_up_late(&mut self, now: Timestamp) {
+        if !self.may_give_up(now) {
             return;
         }
         for index in std::mem::take(&mut self.waiting) {
@@ -182,7 +190,7 @@
     }
 
     /// Returns the transaction that stores finished results, if there are any and none is under way.
-    pub fn commit(&mut self, unix_ms: u64) -> Option<Transaction> {
+    pub fn commit(&mut self, now: Timestamp) -> Option<Transaction> {
         if self.unsaved.is_empty() || !self.saving.is_empty() {
             return None;
         }
@@ -208,10 +216,10 @@
         if record.is_ended() {
             return Some(transaction.remove(self.id.open()).remove(self.id.claim()));
         }
-        if unix_ms < self.indexed_ms + INDEX_INTERVAL_MS {
+        if self.indexed_at.is_some_and(|it| now.since(it) < INDEX_INTERVAL) {
             return Some(transaction);
         }
-        self.indexed_ms = unix_ms;
+        self.indexed_at = Some(now);
         Some(transaction.write(self.id.open(), encode(&self.open_entry(&record))))
     }
 
@@ -253,12 +261,11 @@
             origin: record.origin.clone(),
             account: record.account.clone(),
             route: self.route.clone(),
-            due_ms: record.due_ms,
             tokens: left.map(|it| self.items[it].tokens).sum(),
         }
     }
 
-    fn may_give_up(&self, unix_ms: u64) -> bool {
-        unix_ms >= self.record.give_up_ms
+    fn may_give_up(&self, now: Timestamp) -> bool {
+        now >= self.times.give_up_at
     }
 }
--- a/crates/jobs/src/submission.rs
+++ b/crates/jobs/src/submission.rs
@@ -91,8 +91,9 @@
             host: self.host.clone(),
             total: self.items.len(),
             parts: parts.len(),
-            due_ms: self.received_ms + self.terms.due.as_millis() as u64,
-            give_up_ms: self.received_ms + self.terms.give_up_after.as_millis() as u64,
+            received_ms: self.received_ms,
+            due_after_ms: self.terms.due.as_millis() as u64,
+            give_up_after_ms: self.terms.give_up_after.as_millis() as u64,
             max_attempts: self.max_attempts,
             listed: Vec::new(),
             cancelled: false,
@@ -101,7 +102,6 @@
             origin: record.origin.clone(),
             account: record.account.clone(),
             route: self.route.clone(),
-            due_ms: record.due_ms,
             tokens: self.tokens(),
         };
         let mut transaction = Transaction::default()
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -5,12 +5,15 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use fleet::{BatchTerms, Kind, QualifiedName};
-use jobs::{Item, JobId, JobRecord, JobRun, Submission, model::Bytes};
+use jobs::{Item, JobId, JobRecord, JobRun, JobTimes, Sighting, Submission, model::Bytes};
 use kv_store::Revision;
-use stdx::Name;
+use stdx::{Name, Timestamp};
 
 pub const RECEIVED_MS: u64 = 1_000_000;
 
+/// When the daemon heard of the job, by its own clock.
+pub const RECEIVED: Timestamp = Timestamp::from_millis(5_000);
+
 pub fn item(id: &str, body: usize) -> Item {
     Item {
         id: Name::new(id),
@@ -45,5 +48,8 @@
     let submission = submission(items);
     let transaction = submission.transaction().expect("valid");
     let record: JobRecord = serde_json::from_slice(&transaction.writes[0].value).expect("a record");
-    JobRun::new(submission.id, record, Revision(5), submission.route, submission.items, vec![])
+    let seen = Sighting { at: RECEIVED, is_fresh: true };
+    let times = JobTimes::of(&record, seen, RECEIVED, RECEIVED_MS);
+    let Submission { id, route, items, .. } = submission;
+    JobRun::new(id, record, Revision(5), route, items, vec![], times)
 }
--- a/crates/jobs/tests/order.rs
+++ b/crates/jobs/tests/order.rs
@@ -6,7 +6,7 @@
     JobId, claim,
     order::{Candidate, RunTimes},
 };
-use stdx::Name;
+use stdx::{Name, Timestamp};
 
 const RUN_MS: u64 = 5_000;
 const DUE_MS: u64 = 18_000;
@@ -55,11 +55,11 @@
     let by_due = in_time(|it, _| (0, it.arrived_ms));
     let by_place = in_time(|it, now| {
         let candidate = Candidate {
-            due_ms: it.arrived_ms + DUE_MS,
+            due_at: Timestamp::from_millis(it.arrived_ms + DUE_MS),
             tokens: TOKENS,
             events: EVENTS * it.ran_ms / RUN_MS,
         };
-        let place = times.place(&candidate, now);
+        let place = times.place(&candidate, Timestamp::from_millis(now));
         (place_rank(&place), it.arrived_ms)
     });
     // The slots can run two thirds of the items.
@@ -80,8 +80,12 @@
     for _ in 0..100 {
         times.record(TOKENS, EVENTS, Duration::from_secs(8));
     }
-    let left =
-        |events| times.left(&Candidate { due_ms: 0, tokens: TOKENS, events }).as_secs_f64().round();
+    let left = |events| {
+        times
+            .left(&Candidate { due_at: Timestamp::ZERO, tokens: TOKENS, events })
+            .as_secs_f64()
+            .round()
+    };
     assert_eq!((left(0), left(EVENTS / 2)), (8.0, 4.0));
     assert!(left(10 * EVENTS) < 1.0, "an item longer than others is about to end");
 }
@@ -113,9 +117,11 @@
     for _ in 0..100 {
         times.record(TOKENS, EVENTS, Duration::from_secs(2));
     }
-    let items = |count, due_ms| vec![Candidate { due_ms, tokens: TOKENS, events: 0 }; count];
-    let has_time = |count, due_ms| times.has_time(items(count, due_ms), SLOTS, 0);
-    assert!(times.has_time([], SLOTS, 0));
+    let items = |count, due_ms| {
+        vec![Candidate { due_at: Timestamp::from_millis(due_ms), tokens: TOKENS, events: 0 }; count]
+    };
+    let has_time = |count, due_ms| times.has_time(items(count, due_ms), SLOTS, Timestamp::ZERO);
+    assert!(times.has_time([], SLOTS, Timestamp::ZERO));
     // An item takes 3 s with its interruptions, and twice that must fit.
     assert!(has_time(1, 7_000));
     assert!(!has_time(1, 6_000));
--- a/crates/jobs/tests/run.rs
+++ b/crates/jobs/tests/run.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{RECEIVED_MS, item, run};
+use std::time::Duration;
+
+use common::{RECEIVED, item, run};
 use jobs::{ItemEnd, ItemResult, ItemState};
 use kv_store::{Revision, Transaction};
 
@@ -26,9 +28,9 @@
     for index in 0..3 {
         run.take_item(index);
     }
-    run.on_end(2, done("third"), RECEIVED_MS);
-    run.on_end(0, done("first"), RECEIVED_MS);
-    let transaction = run.commit(RECEIVED_MS).expect("two results");
+    run.on_end(2, done("third"), RECEIVED);
+    run.on_end(0, done("first"), RECEIVED);
+    let transaction = run.commit(RECEIVED).expect("two results");
     assert_eq!(transaction.expected[0].revision, Revision(5));
     let stored = results(&transaction);
     let positions: Vec<(&str, &str)> = stored.iter().map(|(key, it)| (&**key, &*it.id)).collect();
@@ -39,12 +41,12 @@
             ("work/job/job-1/progress/results/0001", "a")
         ]
     );
-    assert_eq!(run.commit(RECEIVED_MS), None, "one transaction at a time");
+    assert_eq!(run.commit(RECEIVED), None, "one transaction at a time");
     run.on_committed(Revision(9));
     assert!(!run.has_all_results());
-    run.on_end(1, done("second"), RECEIVED_MS);
+    run.on_end(1, done("second"), RECEIVED);
     assert!(run.has_all_results(), "the last result need not wait for others");
-    let last = run.commit(RECEIVED_MS).expect("the last result");
+    let last = run.commit(RECEIVED).expect("the last result");
     assert_eq!(last.expected[0].revision, Revision(9));
     assert_eq!(results(&last)[0].0, "work/job/job-1/progress/results/0002");
     let gone = ["work/index/open/job-1".into(), "work/index/claim/job-1".into()];
@@ -58,10 +60,10 @@
 fn results_that_were_not_stored_are_stored_again() {
     let mut run = run(vec![item("a", 0), item("b", 0)]);
     run.take_item(0);
-    run.on_end(0, done("first"), RECEIVED_MS);
-    let first = run.commit(RECEIVED_MS).expect("a result");
+    run.on_end(0, done("first"), RECEIVED);
+    let first = run.commit(RECEIVED).expect("a result");
     run.on_not_committed();
-    let again = run.commit(RECEIVED_MS).expect("the same result");
+    let again = run.commit(RECEIVED).expect("the same result");
     assert_eq!(results(&first), results(&again));
 }
 
@@ -71,7 +73,7 @@
     let mut run = run(vec![item("a", 0), item("b", 0), item("c", 0)]);
     let mut end = |index, end| {
         run.take_item(index);
-        run.on_end(index, end, RECEIVED_MS);
+        run.on_end(index, end, RECEIVED);
     };
     for _ in 0..10 {
         end(0, ItemEnd::Interrupted);
@@ -80,7 +82,7 @@
     end(2, ItemEnd::Failed);
     end(2, ItemEnd::Failed);
     assert_eq!(run.waiting().collect::<Vec<_>>(), [0]);
-    let stored = results(&run.commit(RECEIVED_MS).expect("two results"));
+    let stored = results(&run.commit(RECEIVED).expect("two results"));
     assert!(stored.iter().all(|(_, it)| it.state == ItemState::Failed && it.text.is_empty()));
     assert_eq!(stored.iter().map(|(_, it)| &*it.id).collect::<Vec<_>>(), ["b", "c"]);
 }
@@ -90,12 +92,12 @@
 fn items_are_given_up_only_when_their_time_is_over() {
     let mut run = run(vec![item("a", 0), item("b", 0)]);
     run.take_item(0);
-    run.give_up_late(RECEIVED_MS + 59_999);
+    run.give_up_late(RECEIVED + Duration::from_millis(59_999));
     assert_eq!(run.waiting().count(), 1);
-    run.give_up_late(RECEIVED_MS + 60_000);
+    run.give_up_late(RECEIVED + Duration::from_secs(60));
     assert_eq!(run.waiting().count(), 0);
-    run.on_end(0, ItemEnd::Interrupted, RECEIVED_MS + 60_000);
-    let stored = results(&run.commit(RECEIVED_MS + 60_000).expect("results"));
+    run.on_end(0, ItemEnd::Interrupted, RECEIVED + Duration::from_secs(60));
+    let stored = results(&run.commit(RECEIVED + Duration::from_secs(60)).expect("results"));
     assert_eq!(stored.len(), 2);
 }
 
@@ -103,16 +105,16 @@
 #[test]
 fn an_end_of_an_item_that_does_not_run_changes_nothing() {
     let mut run = run(vec![item("a", 0), item("b", 0)]);
-    run.on_end(0, done("of an earlier claim"), RECEIVED_MS);
-    assert_eq!(run.commit(RECEIVED_MS), None);
+    run.on_end(0, done("of an earlier claim"), RECEIVED);
+    assert_eq!(run.commit(RECEIVED), None);
     run.take_item(0);
-    run.on_end(0, done("first"), RECEIVED_MS);
-    run.on_end(0, done("again"), RECEIVED_MS);
-    let stored = results(&run.commit(RECEIVED_MS).expect("one result"));
+    run.on_end(0, done("first"), RECEIVED);
+    run.on_end(0, done("again"), RECEIVED);
+    let stored = results(&run.commit(RECEIVED).expect("one result"));
     assert_eq!(stored.iter().map(|(_, it)| &*it.text).collect::<Vec<_>>(), ["first"]);
     run.on_committed(Revision(9));
-    run.on_end(0, done("late"), RECEIVED_MS);
-    assert_eq!(run.commit(RECEIVED_MS), None);
+    run.on_end(0, done("late"), RECEIVED);
+    assert_eq!(run.commit(RECEIVED), None);
     assert_eq!(run.waiting().collect::<Vec<_>>(), [1]);
 }
 
@@ -122,8 +124,8 @@
     let mut run = run(vec![item("a", 0)]);
     run.on_committed(Revision(9));
     run.take_item(0);
-    run.on_end(0, done("first"), RECEIVED_MS);
-    let transaction = run.commit(RECEIVED_MS).expect("one result");
+    run.on_end(0, done("first"), RECEIVED);
+    let transaction = run.commit(RECEIVED).expect("one result");
     assert_eq!(transaction.expected[0].revision, Revision(5));
 }
 
@@ -132,11 +134,11 @@
 fn a_condemned_item_runs_once_more_and_fails_at_the_second_verdict() {
     let mut run = run(vec![item("a", 0)]);
     run.take_item(0);
-    run.on_end(0, ItemEnd::Condemned, RECEIVED_MS);
+    run.on_end(0, ItemEnd::Condemned, RECEIVED);
     assert_eq!(run.waiting().collect::<Vec<_>>(), [0]);
     assert_eq!(run.verdicts(0), 1);
     run.take_item(0);
-    run.on_end(0, ItemEnd::Condemned, RECEIVED_MS);
-    let stored = results(&run.commit(RECEIVED_MS).expect("a result"));
+    run.on_end(0, ItemEnd::Condemned, RECEIVED);
+    let stored = results(&run.commit(RECEIVED).expect("a result"));
     assert_eq!(stored[0].1.state, ItemState::Failed);
 }
--- a/crates/jobs/tests/submission.rs
+++ b/crates/jobs/tests/submission.rs
@@ -20,8 +20,8 @@
         .map(|it| format!("{} {}", it.key, String::from_utf8_lossy(&it.value)))
         .collect();
     expect![[r#"
-        work/job/job-1/progress/record {"origin":"operator","account":"acme","service":"engine","host":"shop.example","total":2,"parts":1,"due_ms":1018000,"give_up_ms":1060000,"max_attempts":2,"listed":[],"cancelled":false}
-        work/index/open/job-1 {"origin":"operator","account":"acme","route":"route","due_ms":1018000,"tokens":200}
+        work/job/job-1/progress/record {"origin":"operator","account":"acme","service":"engine","host":"shop.example","total":2,"parts":1,"received_ms":1000000,"due_after_ms":18000,"give_up_after_ms":60000,"max_attempts":2,"listed":[],"cancelled":false}
+        work/index/open/job-1 {"origin":"operator","account":"acme","route":"route","tokens":200}
         work/job/job-1/items/0000 [{"id":"i-1","path":"/jobs/x","headers":{},"body":"BwcH","tokens":100},{"id":"i-2","path":"/jobs/x","headers":{},"body":"","tokens":100}]
     "#]]
     .assert_eq(&(text.join("\n") + "\n"));
@@ -67,7 +67,6 @@
         origin: "operator".into(),
         account: account.into(),
         route: route.into(),
-        due_ms: 0,
         tokens,
     };
     let others = [open("other", "route", 900), open("acme", "other", 900)];
--- /dev/null
+++ b/crates/jobs/tests/times.rs
@@ -0,0 +1,39 @@
+//! Due times of jobs on instances whose time of day differs or jumps.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{RECEIVED, RECEIVED_MS, item, submission};
+use jobs::{JobRecord, JobTimes, Sighting};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn record() -> JobRecord {
+    let transaction = submission(vec![item("a", 0)]).transaction().expect("valid");
+    serde_json::from_slice(&transaction.writes[0].value).expect("a record")
+}
+
+/// Guards against items that are given up early, or run in the wrong order, because the time of day of two instances differs
+/// or has jumped: the users' jumps are 2.4 s, and a clock may be wrong by more.
+#[test]
+fn the_times_of_a_job_that_was_just_accepted_do_not_depend_on_the_time_of_day() {
+    let seen = Sighting { at: RECEIVED, is_fresh: true };
+    for unix_ms in [0, RECEIVED_MS - 2_400, RECEIVED_MS, RECEIVED_MS + 2_400, u64::MAX] {
+        let times = JobTimes::of(&record(), seen, RECEIVED + 2 * SECOND, unix_ms);
+        assert_eq!(times.due_at, RECEIVED + 18 * SECOND, "{unix_ms}");
+        assert_eq!(times.give_up_at, RECEIVED + 60 * SECOND, "{unix_ms}");
+    }
+}
+
+/// Guards against a job whose items are given up before their time because a daemon that starts misjudges its age.
+#[test]
+fn a_job_found_in_a_listing_is_ordered_by_its_age_and_never_given_up_early() {
+    let seen = Sighting { at: RECEIVED, is_fresh: false };
+    let times = |ahead_ms| JobTimes::of(&record(), seen, RECEIVED, RECEIVED_MS + ahead_ms);
+    assert_eq!(times(10_000).due_at, RECEIVED + 8 * SECOND);
+    assert_eq!(times(50_000).due_at, RECEIVED, "it is late");
+    for ahead_ms in [0, 10_000, 50_000, 1_000_000] {
+        assert_eq!(times(ahead_ms).give_up_at, RECEIVED + 60 * SECOND);
+    }
+}
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -209,7 +209,22 @@
         self.finish_call(now)
     }
 
-    /// Handles the passing of time; to be called every 50 ms or more often, and with peers every 20 ms.
+    /// Returns whether time alone changes nothing for a while: no request waits, no target recovers and nothing is about to
+    /// be decided.
+    pub fn is_at_rest(&self) -> bool {
+        let is_at_rest = |it: &Service| {
+            it.online.queue.len() + it.batch.queue.len() + it.suspects.len() == 0
+                && it.targets.values().all(|target| target.health.is_at_rest())
+        };
+        self.services.values().all(is_at_rest)
+            && !self.share_wanted
+            && self.repeats.is_empty()
+            && self.claims.all_own().next().is_none()
+            && !self.poison.is_deciding()
+    }
+
+    /// Handles the passing of time; to be called every 50 ms or more often, and with peers every 20 ms, unless
+    /// [`Self::is_at_rest`].
     pub fn tick(&mut self, now: Timestamp) -> Vec<Action> {
         self.upkeep(now);
         self.finish_call(now)
--- a/crates/policy/src/dispatch/health.rs
+++ b/crates/policy/src/dispatch/health.rs
@@ -103,6 +103,12 @@
         self.state
     }
 
+    /// Returns whether the state changes by an event alone.
+    pub fn is_at_rest(&self) -> bool {
+        let is_probed = self.probe_wanted || self.probe_sent.is_some();
+        !is_probed && matches!(self.state, HealthState::Up | HealthState::Leaving)
+    }
+
     /// Estimates how long the target will take no work; `None` if it leaves.
     pub fn wait(&self, settings: &Settings, now: Timestamp) -> Option<Duration> {
         match self.state {
--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -136,6 +136,11 @@
         self.verdicts.get(fingerprint).map(|it| it.expires).filter(|it| now < *it)
     }
 
+    /// Returns whether a verdict is about to be decided.
+    pub fn is_deciding(&self) -> bool {
+        self.records.values().any(|it| it.pending.is_some())
+    }
+
     /// Returns whether a target died while it ran a request with the fingerprint.
     pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
         self.records.get(fingerprint).is_some_and(Record::is_suspect)
--- a/crates/policy/tests/dispatch_queue.rs
+++ b/crates/policy/tests/dispatch_queue.rs
@@ -281,3 +281,21 @@
     assert_eq!(by_target.len(), 12);
     assert!(by_target.values().all(|it| *it == 4), "{by_target:?}");
 }
+
+// Guards against a dispatcher that is not called while a request waits or a target is to be probed.
+#[test]
+fn a_dispatcher_is_at_rest_only_while_time_changes_nothing() {
+    let mut bench = Bench::new(&[target("t1", "z1", 1)]);
+    assert!(bench.dispatcher.is_at_rest());
+    bench.submit(online(1));
+    assert!(bench.dispatcher.is_at_rest(), "a request in flight ends by an event");
+    bench.submit(online(2));
+    assert!(!bench.dispatcher.is_at_rest(), "a request waits");
+    bench.complete(1);
+    bench.event(Event::FailedBeforeSend { id: 2 });
+    assert!(!bench.dispatcher.is_at_rest(), "the target is looked after");
+    bench.probed("t1", true);
+    bench.pass(SECOND);
+    bench.complete(2);
+    assert!(bench.dispatcher.is_at_rest());
+}
