Bound what a target or the store may send without end

Found with a target that never stops sending: an event without an end was held in memory (up to 64 MB, searched anew from its start with each piece) and the deadline never came, since a reader that always finds bytes never looks at its timer; a batch item had no limit of time at all; the body of a refusal kept the request waiting for its deadline; the output of an item could outgrow what the store takes.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -2,7 +2,7 @@
 
 use std::{io, time::Duration};
 
-use async_std::io::ReadExt as _;
+use async_std::{future::timeout, io::ReadExt as _};
 use futures::future::{Either, select};
 use http_edge::client::{Failure, Progress, SendError};
 use http_types::Response;
@@ -13,7 +13,7 @@
 
 use crate::{
     control::{Admission, Directive},
-    online::{Call, attempt, event_data::EventData, protocol},
+    online::{Call, attempt, event_data::EventData, events::StreamError, protocol},
     shared::Shared,
 };
 
@@ -22,6 +22,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 /// The status by which a target says that an item can never be done.
 const IMPOSSIBLE: u16 = 422;
+/// The longest time between two whole events of an item.
+const EVENT_TIME: Duration = Duration::from_secs(10);
 const BUFFER_BYTES: usize = 16 * 1024;
 
 enum Attempt {
@@ -176,7 +178,7 @@
         let end = if status == IMPOSSIBLE { ItemEnd::Impossible } else { ItemEnd::Failed };
         return Attempt::Ended(end);
     }
-    match read(res, &admission, output).await {
+    match read(cx, res, &admission, output).await {
         Read::Whole => {
             attempt::observe_request(cx, call, started);
             debug!(cx.log, "item completed"; "request" => &call.request_id, "target" => %target);
@@ -184,7 +186,11 @@
             Attempt::Ended(ItemEnd::Completed { text: output.text().to_owned() })
         }
         Read::Broken(e) => {
-            output.discard_partial();
+            match StreamError::is_in(&e) {
+                // What a target sends without end is no output of the item.
+                true => *output = EventData::default(),
+                false => output.discard_partial(),
+            }
             let cause = attempt::cause_of(cx, address, Failure::from_io(&e)).await;
             info!(
                 cx.log, "item stream broke";
@@ -208,18 +214,42 @@
     Interrupted(Option<Directive>),
 }
 
-async fn read(mut res: Response, admission: &Admission, output: &mut EventData) -> Read {
+async fn read(
+    cx: &Shared,
+    mut res: Response,
+    admission: &Admission,
+    output: &mut EventData,
+) -> Read {
     let mut buf = vec![0; BUFFER_BYTES];
     let mut told = Box::pin(admission.next());
+    let (mut events, mut since) = (output.events(), cx.clock.now());
     loop {
-        match select(Box::pin(res.read(&mut buf)), told).await {
-            Either::Left((Ok(0), _)) => return Read::Whole,
-            Either::Left((Ok(n), rest)) => {
-                output.push(&buf[..n]);
+        let left = EVENT_TIME.saturating_sub(cx.clock.now().since(since));
+        if left.is_zero() {
+            let e = "no whole event arrived in time";
+            return Read::Broken(io::Error::new(io::ErrorKind::TimedOut, e));
+        }
+        // What was told goes first: a target whose bytes never end always has some ready.
+        let piece = match select(told, Box::pin(timeout(left, res.read(&mut buf)))).await {
+            Either::Left((directive, _)) => return Read::Interrupted(directive),
+            Either::Right((piece, rest)) => {
                 told = rest;
+                piece
+            }
+        };
+        match piece {
+            Ok(Ok(0)) => return Read::Whole,
+            Ok(Ok(n)) => {
+                if let Err(e) = output.push(&buf[..n]) {
+                    return Read::Broken(e.into());
+                }
             }
-            Either::Left((Err(e), _)) => return Read::Broken(e),
-            Either::Right((directive, _)) => return Read::Interrupted(directive),
+            Ok(Err(e)) => return Read::Broken(e),
+            // The time is up, which the next round says.
+            Err(_) => {}
+        }
+        if output.events() > events {
+            (events, since) = (output.events(), cx.clock.now());
         }
     }
 }
--- a/crates/borageshed/src/load_reports.rs
+++ b/crates/borageshed/src/load_reports.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_std::{future::timeout, task};
+use async_std::{future::timeout, io::ReadExt as _, task};
 use fleet::{QualifiedName, ServiceKind};
 use futures::future::join_all;
 use http_types::{Method, Request, Url};
@@ -19,6 +19,9 @@
 /// How long a target may take; a later report would be too old to be of use.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The longest report that is read, in bytes.
+const MAX_REPORT_BYTES: u64 = 64 << 10;
+
 /// The members of a report that count; engines add others.
 #[derive(Debug, Deserialize)]
 struct Report {
@@ -66,5 +69,8 @@
     let request_id = cx.request_id();
     let req = Request::new(Method::Get, url);
     let mut res = cx.client.send(address, &request_id, req).await.ok()?;
-    res.body_json().await.ok()
+    let mut report = Vec::new();
+    // A longer one does not parse.
+    res.take_body().into_reader().take(MAX_REPORT_BYTES).read_to_end(&mut report).await.ok()?;
+    serde_json::from_slice(&report).ok()
 }
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
-use async_std::{io::ReadExt as _, task};
+use async_std::{future::timeout, io::ReadExt as _, task};
 use futures::future::{Either, select};
 use http_edge::{
     client::{Failure, Progress, SendError},
@@ -29,6 +29,9 @@
 /// An answer up to this size is held back until it is complete, so that another target can take over if this one fails.
 const HELD_BACK_BYTES: usize = 64 * 1024;
 
+/// How long the body of a refusal may take.
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptEnd {
@@ -102,8 +105,8 @@
     };
     if let Some(cause) = protocol::not_run(cx, call, target, &res) {
         debug!(cx.log, "target did not run the request"; "request" => &call.request_id, "target" => %target, "cause" => ?cause);
-        // Reads the rest, so that the connection can be used again.
-        let _ = limits.race(&admission, prefetch(&mut res)).await;
+        // Reads the rest, so that the connection can be used again. A refusal is short, unless its target is in trouble.
+        let _ = timeout(REFUSAL_TIME, prefetch(&mut res)).await;
         admission.not_run(cause);
         return AttemptEnd::Next(admission);
     }
--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -1,6 +1,9 @@
 //! Collects the data of a stream of server-sent events.
 
-use super::events::Events;
+use super::events::{Events, StreamError};
+
+/// The most data of one stream; with what JSON adds to it, it fits into one value of the key-value service.
+const MAX_TEXT_BYTES: usize = 700_000;
 
 /// The data of all whole events so far, separated by line feeds.
 #[derive(Debug, Default)]
@@ -11,12 +14,20 @@
 
 impl EventData {
     /// Takes a piece of the stream.
-    pub fn push(&mut self, piece: &[u8]) {
-        let whole = self.events.push(piece);
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event or all data together are too long.
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), StreamError> {
+        let whole = self.events.push(piece)?;
         let whole = String::from_utf8_lossy(&whole);
         for event in whole.split("\n\n").filter(|it| !it.is_empty()) {
             self.push_event(event);
         }
+        match self.text.len() > MAX_TEXT_BYTES {
+            true => Err(StreamError::TooLong { limit: MAX_TEXT_BYTES }),
+            false => Ok(()),
+        }
     }
 
     /// Forgets the part of an event that a broken stream left.
--- a/crates/borageshed/src/online/events.rs
+++ b/crates/borageshed/src/online/events.rs
@@ -1,5 +1,39 @@
 //! Cuts a stream of server-sent events into whole events, so that a broken one can be continued after its last one.
 
+use std::io;
+
+use thiserror::Error;
+
+/// The longest event; a target in trouble may send bytes without end.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// A stream that holds more than its reader takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum StreamError {
+    /// An event does not end.
+    #[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
+    EventTooLong,
+    /// The whole stream is too long.
+    #[error("the stream holds more than {limit} bytes")]
+    TooLong {
+        /// The limit.
+        limit: usize,
+    },
+}
+
+impl StreamError {
+    /// Returns whether an I/O error is one of these.
+    pub fn is_in(error: &io::Error) -> bool {
+        error.get_ref().is_some_and(|it| it.is::<Self>())
+    }
+}
+
+impl From<StreamError> for io::Error {
+    fn from(error: StreamError) -> Self {
+        Self::new(io::ErrorKind::InvalidData, error)
+    }
+}
+
 /// Holds back the part of an event that has not arrived yet.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -10,14 +44,25 @@
 
 impl Events {
     /// Takes a piece of the stream and returns the whole events that are complete with it.
-    pub fn push(&mut self, piece: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event is too long.
+    pub fn push(&mut self, piece: &[u8]) -> Result<Vec<u8>, StreamError> {
+        // The end of an event may stand across two pieces.
+        let searched = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(piece);
-        let Some(end) = last_end(&self.partial) else { return Vec::new() };
+        let Some(end) = last_end(&self.partial[searched..]).map(|it| searched + it) else {
+            return match self.partial.len() > MAX_EVENT_BYTES {
+                true => Err(StreamError::EventTooLong),
+                false => Ok(Vec::new()),
+            };
+        };
         let rest = self.partial.split_off(end);
         let whole = std::mem::replace(&mut self.partial, rest);
         self.passed += count(&whole);
         self.last_id = last_id(&whole).or(self.last_id);
-        whole
+        Ok(whole)
     }
 
     /// Returns the number of whole events so far.
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -5,16 +5,16 @@
 //! - [`protocol`]: what targets are told and tell besides requests and answers.
 //! - [`refusal`]: final answers other than the target's.
 //! - [`event_data`]: collects the data of event streams.
-//! - `events`: counts and cuts event streams.
+//! - [`events`]: counts and cuts event streams.
 //! - `relay`: passes an answer on while it arrives.
 
 pub mod attempt;
 pub mod call;
 pub mod event_data;
+pub mod events;
 pub mod protocol;
 pub mod refusal;
 
-mod events;
 mod relay;
 
 use std::sync::Arc;
--- a/crates/borageshed/src/online/relay.rs
+++ b/crates/borageshed/src/online/relay.rs
@@ -122,19 +122,19 @@
         let mut resumes = 0;
         let mut buf = vec![0; PIECE_BYTES];
         loop {
-            match self.read(&mut res, &mut buf).await {
-                Read::Piece(n) => {
-                    if !self.deliver(&tx, events.push(&buf[..n])).await {
+            match self.read_events(&mut res, &mut buf, &mut events).await {
+                ReadEvents::Whole(whole) => {
+                    if !self.deliver(&tx, whole).await {
                         return;
                     }
                 }
-                Read::End => {
+                ReadEvents::End => {
                     if self.deliver(&tx, events.finish()).await {
                         self.complete(Some(events.passed()));
                     }
                     return;
                 }
-                Read::Broken(e) => {
+                ReadEvents::Broken(e) => {
                     drop(res);
                     events.discard_partial();
                     resumes += 1;
@@ -161,7 +161,7 @@
                         }
                     }
                 }
-                Read::Stopped => {
+                ReadEvents::Stopped => {
                     drop(res);
                     if !self.caller.is_gone() {
                         self.deliver_error_event(&tx).await;
@@ -284,7 +284,28 @@
         message.request(self.address)
     }
 
+    async fn read_events(
+        &self,
+        res: &mut Response,
+        buf: &mut [u8],
+        events: &mut Events,
+    ) -> ReadEvents {
+        match self.read(res, buf).await {
+            Read::Piece(n) => match events.push(&buf[..n]) {
+                Ok(whole) => ReadEvents::Whole(whole),
+                Err(e) => ReadEvents::Broken(e.into()),
+            },
+            Read::End => ReadEvents::End,
+            Read::Broken(e) => ReadEvents::Broken(e),
+            Read::Stopped => ReadEvents::Stopped,
+        }
+    }
+
     async fn read(&self, res: &mut Response, buf: &mut [u8]) -> Read {
+        // A target whose bytes never end always has some ready, so that timers alone would not stop it.
+        if self.call.deadline.is_some_and(|it| it <= self.cx.clock.now()) {
+            return Read::Stopped;
+        }
         let told = select(Box::pin(self.admission.next()), Box::pin(self.caller.gone()));
         let late = async {
             match self.call.deadline {
@@ -293,11 +314,11 @@
             }
         };
         let stopped = select(told, Box::pin(late));
-        match select(Box::pin(res.read(buf)), stopped).await {
-            Either::Left((Ok(0), _)) => Read::End,
-            Either::Left((Ok(n), _)) => Read::Piece(n),
-            Either::Left((Err(e), _)) => Read::Broken(e),
-            Either::Right(_) => Read::Stopped,
+        match select(stopped, Box::pin(res.read(buf))).await {
+            Either::Left(_) => Read::Stopped,
+            Either::Right((Ok(0), _)) => Read::End,
+            Either::Right((Ok(n), _)) => Read::Piece(n),
+            Either::Right((Err(e), _)) => Read::Broken(e),
         }
     }
 
@@ -348,3 +369,11 @@
     Broken(io::Error),
     Stopped,
 }
+
+enum ReadEvents {
+    /// The events that are complete with a piece; possibly none.
+    Whole(Vec<u8>),
+    End,
+    Broken(io::Error),
+    Stopped,
+}
--- a/crates/http-edge/src/client/exchange.rs
+++ b/crates/http-edge/src/client/exchange.rs
@@ -84,8 +84,13 @@
         let failure = if conn.is_closed_by_owner() { Failure::ClosedByOwner } else { failure };
         SendError { addr, progress, failure }
     })?;
-    let info = AnswerInfo { connection: conn.handle(), reused, time_to_head: started.elapsed() };
     let AnswerHead { mut res, framing, keep_alive, .. } = *done.head;
+    let info = AnswerInfo {
+        connection: conn.handle(),
+        reused,
+        time_to_head: started.elapsed(),
+        ends_with_connection: framing == Framing::UntilClose,
+    };
     conn.idle_time = res.ext().get::<IdleTime>().map(|it| it.0);
     res.ext_mut().insert(info);
     let reusable = keep_alive && done.request_complete && framing != Framing::UntilClose;
--- a/crates/http-edge/src/client/mod.rs
+++ b/crates/http-edge/src/client/mod.rs
@@ -119,6 +119,8 @@
     pub reused: bool,
     /// Time from the start of sending to the head of the answer.
     pub time_to_head: Duration,
+    /// Whether the answer has no length and ends with its connection, so that a cut one looks whole.
+    pub ends_with_connection: bool,
 }
 
 type OnSilence = dyn Fn(Silence) + Send + Sync;
