Await answers of other daemons in one place

Reads through relays and questions about jobs each kept a table of what they had asked, with the same rules for answers that nobody awaits and links that are lost.

--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -3,11 +3,13 @@
 //! - `jobs`: questions to the daemons that run batch jobs.
 //! - `links`: which daemons this one links with, and through which relay it speaks.
 //! - `loads`: what daemons tell each other of their requests in flight.
+//! - `pending`: questions to other daemons that await their answers.
 //! - `reads`: reads of the key-value service through relays.
 
 mod jobs;
 mod links;
 mod loads;
+mod pending;
 mod reads;
 
 use std::{
@@ -322,8 +324,8 @@
             PeerEvent::Down { peer, reason, .. } => {
                 info!(cx.log, "peer link closed"; "peer" => %peer, "reason" => ?reason);
                 peers.inner.links.set_link(&peer, false);
-                peers.inner.reads.on_link_lost(&peer);
-                peers.inner.jobs.on_link_lost(&peer);
+                peers.inner.reads.asked.on_link_lost(&peer);
+                peers.inner.jobs.asked.on_link_lost(&peer);
                 peers.book().forget(&peer);
                 peers.upkeep(&cx);
             }
@@ -341,7 +343,9 @@
         }
         Message::Loads(loads) => return on_loads(cx, peers, &from, &loads),
         Message::ReadRequest(req) => return peers.answer_read(cx, from, req),
-        Message::ReadAnswer(answer) => return peers.inner.reads.on_answer(answer),
+        Message::ReadAnswer(answer) => {
+            return peers.inner.reads.asked.on_answer(answer.id, answer);
+        }
         Message::Flood(Flood { origin, payload }) => {
             Frame::Flood { origin: Name::from(origin), payload }
         }
@@ -423,7 +427,7 @@
         Message::JobRequest(JobRequest { id, .. }) => {
             peers.answer_about_job(&from, JobAnswer { id, ..JobAnswer::default() });
         }
-        Message::JobAnswer(answer) => peers.inner.jobs.on_answer(answer),
+        Message::JobAnswer(answer) => peers.inner.jobs.asked.on_answer(answer.id, answer),
         message @ (Message::LoanRequest(_) | Message::LoanGrant(_) | Message::LoanReturn(_)) => {
             if let Some(message) = loans::from_wire(message) {
                 cx.control.send(ControlEvent::Rate { from, message });
--- /dev/null
+++ b/crates/borageshed/src/peers/pending.rs
@@ -0,0 +1,71 @@
+//! Questions to other daemons that await their answers.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_std::future::timeout;
+use stdx::Name;
+
+/// The questions of one kind, whose answers are of type `A`.
+#[derive(Debug)]
+pub(super) struct Pending<A> {
+    next: AtomicU64,
+    asked: Mutex<HashMap<u64, Asked<A>>>,
+}
+
+#[derive(Debug)]
+struct Asked<A> {
+    peer: Name,
+    reply: async_channel::Sender<A>,
+}
+
+impl<A> Default for Pending<A> {
+    fn default() -> Self {
+        Self { next: AtomicU64::default(), asked: Mutex::default() }
+    }
+}
+
+impl<A> Pending<A> {
+    /// Sends a question under a number of its own with `send`, which tells whether it has left, and waits for the answer;
+    /// `None` if there is none in time, or if the link to the peer is lost.
+    pub(super) async fn ask(
+        &self,
+        peer: &Name,
+        limit: Duration,
+        send: impl FnOnce(u64) -> bool,
+    ) -> Option<A> {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let (reply, answers) = async_channel::bounded(1);
+        self.lock().insert(id, Asked { peer: peer.clone(), reply });
+        let answer = match send(id) {
+            // The channel closes when the link is lost.
+            true => timeout(limit, answers.recv()).await.ok().and_then(Result::ok),
+            false => None,
+        };
+        self.lock().remove(&id);
+        answer
+    }
+
+    /// Takes an answer over; one that nobody awaits any more counts for nothing.
+    pub(super) fn on_answer(&self, id: u64, answer: A) {
+        if let Some(asked) = self.lock().remove(&id) {
+            // The asker may have given up.
+            let _ = asked.reply.try_send(answer);
+        }
+    }
+
+    /// Ends the questions to a peer whose link is gone.
+    pub(super) fn on_link_lost(&self, peer: &Name) {
+        self.lock().retain(|_, it| it.peer != *peer);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Asked<A>>> {
+        self.asked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/borageshed/src/peers/reads.rs
+++ b/crates/borageshed/src/peers/reads.rs
@@ -1,16 +1,15 @@
 //! Reads of the key-value service through relays: the questions of this daemon, and its answers to others.
 
 use std::{
-    collections::HashMap,
     fmt,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, Weak,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        Arc, Weak,
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
-use async_std::{future::timeout, task};
+use async_std::task;
 use async_trait::async_trait;
 use event_listener::EventListener;
 use fleet::MEMBERS_PREFIX;
@@ -24,7 +23,7 @@
 use slog::debug;
 use stdx::Name;
 
-use super::{Inner, Peers};
+use super::{Inner, Peers, pending::Pending};
 use crate::{
     effects::{POISON_PREFIX, SLOTS_PREFIX},
     shared::Shared,
@@ -36,20 +35,13 @@
 /// Questions of others that wait for an answer here; each user of a relay has one for each prefix.
 const MAX_OPEN_ANSWERS: usize = 2_048;
 
-/// The questions that await their answers.
+/// The questions of this daemon that await their answers, and the number of those of others.
 #[derive(Debug, Default)]
 pub(super) struct Reads {
-    next: AtomicU64,
-    asked: Mutex<HashMap<u64, Asked>>,
+    pub(super) asked: Pending<ReadAnswer>,
     answering: AtomicUsize,
 }
 
-#[derive(Debug)]
-struct Asked {
-    relay: Name,
-    reply: async_channel::Sender<ReadAnswer>,
-}
-
 /// The links to relays, as the copies of followed keys see them.
 struct RelayLinks {
     inner: Weak<Inner>,
@@ -97,25 +89,6 @@
     }
 }
 
-impl Reads {
-    /// Takes an answer over; one that nobody awaits any more counts for nothing.
-    pub(super) fn on_answer(&self, answer: ReadAnswer) {
-        if let Some(asked) = self.lock().remove(&answer.id) {
-            // The asker may have given up.
-            let _ = asked.reply.try_send(answer);
-        }
-    }
-
-    /// Ends the questions to a relay whose link is gone.
-    pub(super) fn on_link_lost(&self, relay: &Name) {
-        self.lock().retain(|_, it| it.relay != *relay);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Asked>> {
-        self.asked.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 #[async_trait]
 impl Relays for RelayLinks {
     fn view(&self) -> View {
@@ -131,17 +104,12 @@
 
     async fn ask(&self, relay: &Name, question: Question) -> Option<Answer> {
         let inner = self.inner.upgrade()?;
-        let id = inner.reads.next.fetch_add(1, Ordering::Relaxed);
-        let (reply, answers) = async_channel::bounded(1);
-        inner.reads.lock().insert(id, Asked { relay: relay.clone(), reply });
         let limit = question.wait + ANSWER_TIME;
-        let answer =
-            match inner.hub.send(relay, &Message::ReadRequest(question_to_wire(id, &question))) {
-                // The channel closes when the link is lost.
-                Ok(()) => timeout(limit, answers.recv()).await.ok().and_then(Result::ok),
-                Err(_) => None,
-            };
-        inner.reads.lock().remove(&id);
+        let send = |id| {
+            let req = question_to_wire(id, &question);
+            inner.hub.send(relay, &Message::ReadRequest(req)).is_ok()
+        };
+        let answer = inner.reads.asked.ask(relay, limit, send).await;
         answer_of(answer?)
     }
 }
