Send fewer requests to targets that stream slower than the others of their service

Change: daemons measure the time between whole events of online streams and batch items, tell each other with the requests in flight, and leave out targets whose events come more than 2.5 times as far apart as on the median of the service, unless the others are full. A target is as fast as anybody found it lately, since whoever measures may be slow itself; one that was slow is tried with one request at a time after two seconds.

Ruled out: judging with each request by what was measured within the last second alone.

--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -132,7 +132,7 @@
             }
             ControlEvent::Loads(reply) => {
                 let loads = LoadStatus {
-                    in_flight: self.dispatcher.in_flight_loads(),
+                    in_flight: self.dispatcher.in_flight_loads(now),
                     waiting: self.dispatcher.waiting_services(),
                     batch_waiting: self.dispatcher.batch_waiting_services(),
                 };
@@ -467,7 +467,7 @@
             accounts_in_use: rate.map_or(0, |it| it.limiter.accounts_in_use()),
             rate: rate.map(|it| it.limiter.stats().into()).unwrap_or_default(),
             requests_open: self.open.len() + self.rate_waiting.len(),
-            services: self.dispatcher.snapshot().into_iter().map(ServiceStatus::from).collect(),
+            services: self.dispatcher.snapshot(now).into_iter().map(ServiceStatus::from).collect(),
         }
     }
 }
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -13,7 +13,9 @@
 
 use crate::{
     control::{Admission, Directive},
-    online::{Call, attempt, event_data::EventData, events::StreamError, protocol},
+    online::{
+        Call, attempt, event_data::EventData, events::StreamError, pace::PaceMeter, protocol,
+    },
     shared::Shared,
 };
 
@@ -178,7 +180,7 @@
         let end = if status == IMPOSSIBLE { ItemEnd::Impossible } else { ItemEnd::Failed };
         return Attempt::Ended(end);
     }
-    match read(cx, res, &admission, output).await {
+    match read(cx, call, target, res, &admission, output).await {
         Read::Whole => {
             attempt::observe_request(cx, call, started);
             debug!(cx.log, "item completed"; "request" => &call.request_id, "target" => %target);
@@ -216,6 +218,8 @@
 
 async fn read(
     cx: &Shared,
+    call: &Call,
+    target: &Name,
     mut res: Response,
     admission: &Admission,
     output: &mut EventData,
@@ -223,6 +227,7 @@
     let mut buf = vec![0; BUFFER_BYTES];
     let mut told = Box::pin(admission.next());
     let (mut events, mut since) = (output.events(), cx.clock.now());
+    let mut meter = PaceMeter::default();
     loop {
         let left = EVENT_TIME.saturating_sub(cx.clock.now().since(since));
         if left.is_zero() {
@@ -250,6 +255,7 @@
         }
         if output.events() > events {
             (events, since) = (output.events(), cx.clock.now());
+            protocol::tell_pace(cx, call, target, &mut meter, events);
         }
     }
 }
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`call`]: what a request consists of.
 //! - [`attempt`]: one attempt on one target.
+//! - [`pace`]: measures how fast a stream comes.
 //! - [`protocol`]: what targets are told and tell besides requests and answers.
 //! - [`refusal`]: final answers other than the target's.
 //! - [`event_data`]: collects the data of event streams.
@@ -12,6 +13,7 @@
 pub mod call;
 pub mod event_data;
 pub mod events;
+pub mod pace;
 pub mod protocol;
 pub mod refusal;
 
--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -8,7 +8,7 @@
 use policy::dispatch::{Event, NotRunCause};
 use stdx::Name;
 
-use super::Call;
+use super::{Call, pace::PaceMeter};
 use crate::{control::ControlEvent, settings::FleetSource, shared::Shared};
 
 /// Builds the request for one attempt; `None` if the path cannot stand in a request.
@@ -74,6 +74,14 @@
     }
 }
 
+/// Tells the control thread how fast a stream comes from a target.
+pub fn tell_pace(cx: &Shared, call: &Call, target: &Name, meter: &mut PaceMeter, events: u64) {
+    if let Some(gap) = meter.note(cx.clock.now(), events) {
+        let (service, target) = (call.service.clone(), target.clone());
+        cx.control.send(ControlEvent::Dispatch(Event::EventGap { service, target, gap }));
+    }
+}
+
 fn tell_leaving(cx: &Shared, service: &QualifiedName, target: &Name) {
     let (service, target) = (service.clone(), target.clone());
     cx.control.send(ControlEvent::Dispatch(Event::TargetLeaving { service, target }));
--- a/crates/borageshed/src/online/relay.rs
+++ b/crates/borageshed/src/online/relay.rs
@@ -17,7 +17,7 @@
 use slog::{info, warn};
 use stdx::{Name, Timestamp};
 
-use super::{Call, Message, Resumption, attempt, events::Events, protocol};
+use super::{Call, Message, Resumption, attempt, events::Events, pace::PaceMeter, protocol};
 use crate::{
     answer::set_body,
     control::{Admission, Directive},
@@ -119,11 +119,22 @@
         let engine_request =
             res.header("x-engine-request-id").map(|it| it.last().as_str().to_owned());
         let mut events = Events::default();
+        let (mut meter, mut is_resumed) = (PaceMeter::default(), false);
         let mut resumes = 0;
         let mut buf = vec![0; PIECE_BYTES];
         loop {
             match self.read_events(&mut res, &mut buf, &mut events).await {
                 ReadEvents::Whole(whole) => {
+                    // Which target a stream is continued at is known to the control thread alone.
+                    if !is_resumed {
+                        protocol::tell_pace(
+                            &self.cx,
+                            &self.call,
+                            &self.target,
+                            &mut meter,
+                            events.passed(),
+                        );
+                    }
                     if !self.deliver(&tx, whole).await {
                         return;
                     }
@@ -137,6 +148,7 @@
                 ReadEvents::Broken(e) => {
                     drop(res);
                     events.discard_partial();
+                    is_resumed = true;
                     resumes += 1;
                     let resumed = match self.call.resumption {
                         Resumption::AnyTarget { after } => {
--- a/crates/borageshed/src/peers/loads.rs
+++ b/crates/borageshed/src/peers/loads.rs
@@ -34,6 +34,7 @@
             suspects: it.suspects,
             contending: it.contending,
             batch_contending: it.batch_contending,
+            event_gap_ms: it.event_gap_ms,
         };
         (TargetId::of(&it.service, &it.target).0, counts)
     });
@@ -114,6 +115,7 @@
             suspects: counts.suspects,
             contending: counts.contending,
             batch_contending: counts.batch_contending,
+            event_gap_ms: counts.event_gap_ms,
         })
     });
     let services = |waiting: &BTreeMap<u64, u32>| {
@@ -142,6 +144,7 @@
         targets: report.targets.keys().copied().collect(),
         online: counts().map(|it| it.online).collect(),
         batch: counts().map(|it| it.batch).collect(),
+        event_gap_ms: counts().map(|it| it.event_gap_ms).collect(),
         suspects: suspects.collect(),
         waiting: report.waiting.keys().copied().collect(),
         batch_waiting: report.batch_waiting.keys().copied().collect(),
@@ -167,6 +170,7 @@
             suspects: heartbeat.suspects.iter().filter(|it| **it as usize == at).count() as u32,
             contending: if waits(&heartbeat.waiting) { online } else { 0 },
             batch_contending: if waits(&heartbeat.batch_waiting) { batch } else { 0 },
+            event_gap_ms: count(&heartbeat.event_gap_ms, at),
         };
         (*id, counts)
     });
@@ -195,6 +199,7 @@
         suspects: list(|it| it.suspects),
         contending: list(|it| it.contending),
         batch_contending: list(|it| it.batch_contending),
+        event_gap_ms: list(|it| it.event_gap_ms),
         waiting: waiting.keys().copied().collect(),
         waiting_instances: waiting.values().copied().collect(),
         batch_waiting: batch_waiting.keys().copied().collect(),
@@ -211,6 +216,7 @@
             suspects: count(&part.suspects, at),
             contending: count(&part.contending, at),
             batch_contending: count(&part.batch_contending, at),
+            event_gap_ms: count(&part.event_gap_ms, at),
         };
         (*id, counts)
     });
--- a/crates/overlay/src/loads.rs
+++ b/crates/overlay/src/loads.rs
@@ -22,6 +22,8 @@
         pub contending: u32,
         /// The batch requests of instances at which others for the same service wait.
         pub batch_contending: u32,
+        /// The least mean time between two events that anybody measured, in milliseconds; 0 if nobody did.
+        pub event_gap_ms: u32,
     }
 }
 
@@ -157,6 +159,10 @@
             suspects: with(self.suspects, other.suspects),
             contending: with(self.contending, other.contending),
             batch_contending: with(self.batch_contending, other.batch_contending),
+            event_gap_ms: match (self.event_gap_ms, other.event_gap_ms) {
+                (0, gap) | (gap, 0) => gap,
+                (a, b) => a.min(b),
+            },
         }
     }
 }
--- a/crates/peer/src/message/loads.rs
+++ b/crates/peer/src/message/loads.rs
@@ -29,6 +29,9 @@
     /// The short identities of the services for which batch requests wait.
     #[prost(fixed64, repeated, tag = "10")]
     pub batch_waiting: Vec<u64>,
+    /// The mean time between two events of streams of each of `targets`, in milliseconds; 0 if none was measured.
+    #[prost(uint32, repeated, tag = "15")]
+    pub event_gap_ms: Vec<u32>,
 }
 
 /// Requests in flight of parts of the fleet.
@@ -85,4 +88,7 @@
     /// The number of instances at which they do, for each of `batch_waiting`.
     #[prost(uint32, repeated, tag = "12")]
     pub batch_waiting_instances: Vec<u32>,
+    /// The least mean time between two events of streams of each of `targets`, in milliseconds; 0 if none was measured.
+    #[prost(uint32, repeated, tag = "13")]
+    pub event_gap_ms: Vec<u32>,
 }
--- a/crates/peer/tests/heartbeat_rate.rs
+++ b/crates/peer/tests/heartbeat_rate.rs
@@ -70,6 +70,7 @@
         batch: vec![9; TARGETS],
         suspects: Vec::new(),
         waiting: vec![0, 1, 2],
+        event_gap_ms: vec![65; TARGETS],
         batch_waiting: vec![0, 1, 2],
     }
 }
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -30,6 +30,7 @@
         suspects: vec![1],
         waiting: vec![2],
         batch_waiting: vec![3],
+        event_gap_ms: vec![],
     })));
     expect!["1a210901000000000000001102000000000000001803220b0904000000000000001005"].assert_eq(
         &hex(Message::LoanRequest(LoanRequest {
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -319,7 +319,9 @@
 
     fn batch_backlog(&self, instance: usize) -> usize {
         match &self.instances[instance] {
-            Instance::Dispatcher(it) => it.snapshot()[0].batch_queued,
+            Instance::Dispatcher(it) => {
+                it.snapshot(Timestamp::from_micros(self.now))[0].batch_queued
+            }
             Instance::Baseline(it) => it.queued(),
         }
     }
@@ -525,7 +527,7 @@
 
     fn heartbeat(&mut self, from: usize) {
         let Instance::Dispatcher(dispatcher) = &self.instances[from] else { return };
-        let loads = dispatcher.in_flight_loads();
+        let loads = dispatcher.in_flight_loads(Timestamp::from_micros(self.now));
         let waiting = dispatcher.waiting_services();
         let batch_waiting = dispatcher.batch_waiting_services();
         for to in (0..self.instances.len()).filter(|it| *it != from) {
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -165,6 +165,11 @@
             Event::TargetsChanged { service, targets } => {
                 self.on_targets_changed(now, service, targets);
             }
+            Event::EventGap { service, target, gap } => {
+                if let Some((_, target)) = self.target_mut(&service, &target) {
+                    target.pace.measure(now, gap);
+                }
+            }
             Event::TargetLeaving { service, target } => {
                 self.on_target_leaving(now, &service, &target);
             }
@@ -231,9 +236,9 @@
     }
 
     /// Returns this instance's requests in flight, for heartbeats to peers.
-    pub fn in_flight_loads(&self) -> Vec<PeerLoad> {
+    pub fn in_flight_loads(&self, now: Timestamp) -> Vec<PeerLoad> {
         let services = self.services.values();
-        let loads = services.flat_map(|it| it.targets.values().map(|t| own_load(it, t)));
+        let loads = services.flat_map(|it| it.targets.values().map(move |t| own_load(it, t, now)));
         loads.filter(|it| it.online + it.batch > 0).collect()
     }
 
@@ -250,7 +255,7 @@
     }
 
     /// Returns the state of every service, for metrics.
-    pub fn snapshot(&self) -> Vec<Snapshot> {
+    pub fn snapshot(&self, now: Timestamp) -> Vec<Snapshot> {
         let snapshot = |service: &Service| Snapshot {
             service: service.name.clone(),
             online_queued: service.online.queue.len(),
@@ -259,7 +264,7 @@
             targets: service
                 .targets
                 .values()
-                .map(|it| (it.info.name.clone(), it.health.state(), own_load(service, it)))
+                .map(|it| (it.info.name.clone(), it.health.state(), own_load(service, it, now)))
                 .collect(),
         };
         self.services.values().map(snapshot).collect()
@@ -474,7 +479,7 @@
     Action::Refuse { id, refusal: Refusal { reason, execution, retry_after } }
 }
 
-fn own_load(service: &Service, target: &Target) -> PeerLoad {
+fn own_load(service: &Service, target: &Target, now: Timestamp) -> PeerLoad {
     let Counts { online, batch, suspects } = target.own;
     PeerLoad {
         service: service.name.clone(),
@@ -484,5 +489,6 @@
         suspects,
         contending: if service.waits(Class::Online) { online } else { 0 },
         batch_contending: if service.waits(Class::Batch) { batch } else { 0 },
+        event_gap_ms: target.pace.own_gap(now).map_or(0, |it| (it.as_millis() as u32).max(1)),
     }
 }
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -1,6 +1,6 @@
 //! What the dispatcher is told.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use fleet::{QualifiedName, Service};
 use stdx::{Name, record_type, value_type};
@@ -75,6 +75,15 @@
             /// The targets.
             targets: Vec<TargetInfo>,
         },
+        /// Events of a stream arrived from a target.
+        EventGap {
+            /// The service of the target.
+            service: QualifiedName,
+            /// The name of the target.
+            target: Name,
+            /// The mean time between two events.
+            gap: Duration,
+        },
         /// An answer of a target said that the target shuts down.
         TargetLeaving {
             /// The service of the target.
@@ -199,6 +208,8 @@
         pub contending: u32,
         /// The batch requests in flight of instances at which others for the service wait.
         pub batch_contending: u32,
+        /// The mean time between two events of streams of the target, in milliseconds; 0 if none was measured lately.
+        pub event_gap_ms: u32,
     }
 }
 
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 //! - `health`: target health, interpreted from a state chart.
 //! - `invariants`: checks over the whole state.
 //! - `outcome`: what the end of an attempt does to a request.
+//! - `pace`: how fast targets stream, compared with the others of their service.
 //! - `part`: which targets an instance goes to first, where many instances share them.
 //! - `placement`: which waiting request goes where, and which batch requests yield.
 //! - `poison`: suspicion and verdicts by fingerprint.
@@ -31,6 +32,7 @@
 mod health;
 mod invariants;
 mod outcome;
+mod pace;
 mod part;
 mod placement;
 mod poison;
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -137,6 +137,10 @@
             // Going ahead of the batch work of peers exceeds the limit until they stop it, so it comes last.
             free.retain(|it| it.has_free_slot(settings));
         }
+        let is_slow = |it: &&Target| it.pace.is_slow(now, it.own.total());
+        if !free.iter().all(is_slow) {
+            free.retain(|it| !is_slow(it));
+        }
         let avoided = |it: &Target| {
             held.avoid.as_ref() == Some(&it.info.name)
                 || (held.attempt > 1
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -7,6 +7,7 @@
 use super::{
     event::TargetInfo,
     health::{Health, HealthState},
+    pace::Pace,
     request::Class,
     settings::Settings,
 };
@@ -48,6 +49,7 @@
     pub batch_contending: u32,
     /// The number of those peers.
     pub batch_contenders: u32,
+    pub pace: Pace,
     report: Option<Report>,
     window: GrowthWindow,
     /// The most requests of this instance and its peers in the current and in the last interval of reports.
@@ -104,6 +106,7 @@
             contenders: 0,
             batch_contending: 0,
             batch_contenders: 0,
+            pace: Pace::default(),
             report: None,
             window: GrowthWindow::default(),
             peaks: [0; 2],
@@ -196,6 +199,7 @@
             self.peaks_since = now;
         }
         self.is_full &= now < self.full_until;
+        self.pace.turn(now);
         self.note_peak();
         if now.since(self.window.start) >= GOSSIP_INTERVAL || self.window.allowed == 0 {
             let room = self.limit(settings).saturating_sub(self.load() + settings.batch_reserve);
--- a/crates/policy/src/dispatch/upkeep.rs
+++ b/crates/policy/src/dispatch/upkeep.rs
@@ -7,6 +7,7 @@
 
 use super::{
     dispatcher::{Dispatcher, Peer, come_back},
+    pace,
     request::{Action, Class, Reason},
     service::Service,
     target::{Counts, Target},
@@ -42,9 +43,11 @@
     pub(super) fn refresh_targets(&mut self, now: Timestamp, service: usize) {
         let own_domain = &self.settings.failure_domain;
         let peers = self.peers.values().filter(|it| it.failure_domain == *own_domain).count();
+        let slow_above = pace::slow_above(&self.services[service]);
         let names: Vec<_> = self.services[service].targets.keys().cloned().collect();
         for name in names {
             let target = &mut self.services[service].targets[&name];
+            target.pace.judge(now, slow_above);
             target.refresh(&self.settings, now, peers as u32 + 1);
             target.health.tick(&self.settings, now, &mut self.rng);
             let health = target.health.state();
@@ -61,6 +64,7 @@
     pub(super) fn on_peer(&mut self, now: Timestamp, name: Name, peer: Peer) {
         for service in self.services.values_mut() {
             count_peer(service, &peer, Sign::Add);
+            note_gaps(now, service, &peer);
         }
         self.peers.insert(name.clone(), peer);
         for i in 0..self.peers[&name].loads.len() {
@@ -167,6 +171,15 @@
     Subtract,
 }
 
+/// Takes over what a peer measured of the targets.
+fn note_gaps(now: Timestamp, service: &mut Service, peer: &Peer) {
+    for load in peer.loads.iter().filter(|it| it.service == service.name && it.event_gap_ms > 0) {
+        if let Some(target) = service.targets.get_mut(&load.target) {
+            target.pace.note(now, Duration::from_millis(u64::from(load.event_gap_ms)));
+        }
+    }
+}
+
 /// Adds a peer's requests to the counts of a service's targets, or takes them off again.
 fn count_peer(service: &mut Service, peer: &Peer, sign: Sign) {
     let change = |count: &mut u32, by: u32| match sign {
--- a/crates/policy/tests/dispatch_many.rs
+++ b/crates/policy/tests/dispatch_many.rs
@@ -96,7 +96,7 @@
     }
 
     fn share(&mut self, instance: usize) {
-        let loads = self.dispatchers[instance].in_flight_loads();
+        let loads = self.dispatchers[instance].in_flight_loads(self.now);
         for peer in (0..INSTANCES).filter(|it| *it != instance) {
             let event = Event::PeerInFlight {
                 peer: name(instance),
--- a/crates/policy/tests/dispatch_poison.rs
+++ b/crates/policy/tests/dispatch_poison.rs
@@ -297,7 +297,7 @@
         let event = Event::PeerInFlight {
             peer: name_of(from),
             failure_domain: "z1".into(),
-            loads: self.dispatchers[from].in_flight_loads(),
+            loads: self.dispatchers[from].in_flight_loads(self.now),
             waiting: self.dispatchers[from].waiting_services(),
             batch_waiting: self.dispatchers[from].batch_waiting_services(),
         };
--- a/crates/policy/tests/dispatch_queue.rs
+++ b/crates/policy/tests/dispatch_queue.rs
@@ -158,7 +158,11 @@
     assert_eq!(ids(&bench.submit(online(1))), [1]);
     assert_eq!(ids(&bench.submit(online(2))), [0u64; 0]);
     bench.pass(Duration::from_millis(1_100));
-    assert_eq!(bench.dispatcher.snapshot()[0].online_queued, 0, "a silent peer no longer counts");
+    assert_eq!(
+        bench.dispatcher.snapshot(bench.now)[0].online_queued,
+        0,
+        "a silent peer no longer counts"
+    );
 }
 
 // Guards against peers that refill a target with batch work before they hear that its last free slot is taken, and
--- a/crates/policy/tests/dispatch_random.rs
+++ b/crates/policy/tests/dispatch_random.rs
@@ -340,7 +340,7 @@
     }
 
     fn heartbeat(&mut self, from: usize) {
-        let loads = self.dispatchers[from].in_flight_loads();
+        let loads = self.dispatchers[from].in_flight_loads(self.now);
         let waiting = self.dispatchers[from].waiting_services();
         let batch_waiting = self.dispatchers[from].batch_waiting_services();
         for to in (0..DISPATCHERS).filter(|it| *it != from) {
@@ -404,7 +404,7 @@
             (0..self.attempts.len()).for_each(|_| self.progress());
         }
         assert!(self.requests.values().all(|it| it.answers == 1), "a request got two answers");
-        assert!(self.dispatchers.iter().all(|it| it.in_flight_loads().is_empty()));
+        assert!(self.dispatchers.iter().all(|it| it.in_flight_loads(self.now).is_empty()));
     }
 
     fn any_target(&mut self) -> Name {
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -98,6 +98,7 @@
             suspects,
             contending: 0,
             batch_contending: 0,
+            event_gap_ms: 0,
         };
         self.event(Event::PeerInFlight {
             peer: "peer".into(),
@@ -132,7 +133,7 @@
     }
 
     pub fn health(&self, target: &str) -> HealthState {
-        let snapshot = self.dispatcher.snapshot();
+        let snapshot = self.dispatcher.snapshot(self.now);
         let found = snapshot[0].targets.iter().find(|it| it.0.as_str() == target);
         found.expect("the target is listed").1
     }
--- a/crates/policy/tests/dispatch_targets.rs
+++ b/crates/policy/tests/dispatch_targets.rs
@@ -76,7 +76,7 @@
     assert_eq!(dispatches(&bench.submit(online(2))), [(2, "t2".into())], "though it has more load");
     let retry = bench.event(Event::FailedAfterSend { id: 1, cause: FailureCause::Drained });
     assert_eq!(dispatches(&retry), [(1, "t2".into())]);
-    assert_eq!(bench.dispatcher.in_flight_loads()[0].suspects, 0);
+    assert_eq!(bench.dispatcher.in_flight_loads(bench.now)[0].suspects, 0);
     bench.list(&two_targets());
     assert_eq!(bench.health("t1"), HealthState::Unknown);
 }
