--- a/crates/borageshed/src/api/admin.rs
+++ b/crates/borageshed/src/api/admin.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     metrics::CallLabels,
+    peers::Peers,
     shared::Shared,
     status::{ControlStatus, RateStatus, Status},
 };
@@ -83,6 +84,7 @@
         revision: cx.in_force.number(),
         platform_silent_s: cx.platform_silent_s(),
         peers: control.peers,
+        overlay: cx.peers.get().map(Peers::overlay),
         slots_held: control.slots_held,
         slots_of_peers: control.slots_of_peers,
         accounts_in_use: control.accounts_in_use,
--- a/crates/borageshed/src/peers/links.rs
+++ b/crates/borageshed/src/peers/links.rs
@@ -14,6 +14,8 @@
 use peer::Peer;
 use stdx::{Name, Timestamp, value_type};
 
+use crate::status::{OverlayRole, OverlayStatus};
+
 /// How long the peer that should open a link is waited for; its list of daemons may lag.
 const DIALLER_PATIENCE: Duration = Duration::from_secs(2);
 
@@ -140,6 +142,23 @@
         self.view_changed.listen()
     }
 
+    /// Returns what operators are shown.
+    pub(super) fn status(&self) -> OverlayStatus {
+        let state = self.lock();
+        let role = match state.view {
+            View::Starting => OverlayRole::Starting,
+            View::NoRelays => OverlayRole::Mesh,
+            View::User { .. } => OverlayRole::User,
+            View::Relay { .. } => OverlayRole::Relay,
+        };
+        let relays = match &state.view {
+            View::Starting | View::NoRelays => Vec::new(),
+            View::User { relays } => relays.clone(),
+            View::Relay { others } => others.clone(),
+        };
+        OverlayStatus { role, relays, users: state.router.subscribers().cloned().collect() }
+    }
+
     /// Returns the number of the other daemons that are known.
     pub(super) fn known(&self) -> usize {
         self.lock().addresses.len()
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -42,7 +42,7 @@
 use self::{jobs::JobQuestions, links::Links, reads::Reads};
 use crate::{
     config_sync::PeerRevision, control::ControlEvent, loans, metrics::PeerLabels, shared::Shared,
-    suspects,
+    status::OverlayStatus, suspects,
 };
 
 /// How often the heartbeat's contents are renewed.
@@ -137,6 +137,11 @@
         self.inner.links.known()
     }
 
+    /// Returns how this daemon is linked with the others.
+    pub fn overlay(&self) -> OverlayStatus {
+        self.inner.links.status()
+    }
+
     /// Sends a loan message; one that is lost wastes tokens at most.
     pub fn send_rate(&self, to: &Name, message: RateMessage) {
         self.send(Some(to), &loans::to_wire(message));
--- a/crates/borageshed/src/status.rs
+++ b/crates/borageshed/src/status.rs
@@ -83,6 +83,33 @@
     pub online: u32,
     /// Batch requests of this instance in flight.
     pub batch: u32,
+    /// The time between events of streams that this instance has measured, in milliseconds; 0 if it has not lately.
+    pub event_gap_ms: u32,
+}
+
+/// How an instance is linked with the others.
+#[derive(Debug, Clone, Serialize)]
+pub struct OverlayStatus {
+    /// The part that the instance takes.
+    pub role: OverlayRole,
+    /// The linked relays; for a user the one in use first.
+    pub relays: Vec<Name>,
+    /// The instances that use this one as a relay.
+    pub users: Vec<Name>,
+}
+
+/// The part of an instance in the overlay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OverlayRole {
+    /// The other instances are not known yet.
+    Starting,
+    /// All instances are linked with each other.
+    Mesh,
+    /// Relays serve the instance.
+    User,
+    /// The instance relays.
+    Relay,
 }
 
 /// Everything that `/status` shows.
@@ -102,6 +129,8 @@
     pub platform_silent_s: u64,
     /// Peers with an open link.
     pub peers: Vec<Name>,
+    /// How the instance is linked with the others; `None` while it starts.
+    pub overlay: Option<OverlayStatus>,
     /// Rate slots that this instance uses.
     pub slots_held: u32,
     /// Rate slots of the peers with an open link.
@@ -137,6 +166,7 @@
             health: health_name(health),
             online: load.online,
             batch: load.batch,
+            event_gap_ms: load.event_gap_ms,
         };
         Self {
             service: snapshot.service.to_string(),
--- a/crates/borageshedctl/src/commands/status.rs
+++ b/crates/borageshedctl/src/commands/status.rs
@@ -91,10 +91,11 @@
 fn daemons_text(text: &mut String, daemons: &[Value]) {
     let _ = writeln!(
         text,
-        "{:<20} {:<16} {:<9} {:>8} {:>6} {:>6} {:>9} {:>14}",
+        "{:<20} {:<16} {:<9} {:<8} {:>8} {:>6} {:>6} {:>9} {:>14}",
         "instance",
         "failure domain",
         "state",
+        "overlay",
         "revision",
         "slots",
         "peers",
@@ -115,9 +116,10 @@
         };
         let _ = writeln!(
             text,
-            "{:<20} {:<16} {state:<9} {:>8} {:>6} {:>6} {:>9} {:>12} s",
+            "{:<20} {:<16} {state:<9} {:<8} {:>8} {:>6} {:>6} {:>9} {:>12} s",
             status["instance"].as_str().unwrap_or_default(),
             status["failure_domain"].as_str().unwrap_or_default(),
+            status["overlay"]["role"].as_str().unwrap_or("-"),
             status["revision"].to_string(),
             status["slots_held"].to_string(),
             status["peers"].as_array().map_or(0, Vec::len),
--- a/crates/borageshedctl/tests/daemons.rs
+++ b/crates/borageshedctl/tests/daemons.rs
@@ -80,6 +80,7 @@
     let status = site.json(&["status"]).await;
     for daemon in status["daemons"].as_array().expect("daemons") {
         assert_eq!(daemon["status"]["revision"], 2, "{status}");
+        assert_eq!(daemon["status"]["overlay"]["role"], "mesh", "{status}");
     }
     assert_eq!(status["platform"]["instances"].as_array().map(Vec::len), Some(3));
     let text = site.run(&["status"]).await.out;
