Claim a job within 6 s however many daemons are ahead in line

With 45 workers the last in line waited 31 s for a job that nobody claimed, with 370 daemons 258 s: each daemon ahead counted 0.7 s. At most eight turns count now.

Ruled out: a longer list of candidates with shorter turns, which would let a daemon claim before the first in line has had time to.

--- /dev/null
+++ b/crates/borageshed/src/job_work/call.rs
@@ -0,0 +1,54 @@
+//! The request that an item is run with.
+
+use std::{sync::Arc, time::Duration};
+
+use http_types::{Method, headers::HeaderValue};
+use jobs::JobRun;
+use policy::dispatch::Class;
+use stdx::Name;
+
+use crate::{
+    online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS},
+    shared::Shared,
+};
+
+/// The longest time that a target gets for an item.
+const MAX_ITEM_TIME: Duration = Duration::from_secs(120);
+
+/// Returns the request of an item, which may run until its job is given up.
+pub fn call_of(cx: &Shared, run: &JobRun, item: &jobs::Item) -> Call {
+    let record = run.record();
+    let left = run.times().give_up_at.since(cx.clock.now());
+    let time = left.clamp(Duration::from_secs(1), MAX_ITEM_TIME);
+    let header = |(name, value): (&Name, &Name)| {
+        let value = HeaderValue::from_bytes(value.as_bytes().to_vec()).ok()?;
+        Some((name.to_ascii_lowercase(), value))
+    };
+    let mut headers: Vec<_> = item.headers.iter().filter_map(header).collect();
+    if let Ok(host) = HeaderValue::from_bytes(record.host.as_bytes().to_vec()) {
+        headers.push(("host".to_owned(), host));
+    }
+    let account = record.account();
+    Call {
+        request_id: item.id.to_string(),
+        service: record.service(),
+        account_id: Some(policy::rate::AccountId::of(&account)),
+        account,
+        key: None,
+        weight: 1,
+        class: Class::Batch,
+        cost: item.tokens,
+        idempotent: true,
+        timeout: time,
+        deadline: Some(cx.clock.now() + time),
+        max_attempts: UNLIMITED_ATTEMPTS,
+        resumption: Resumption::AnyTarget { after: None },
+        prefix: None,
+        message: Arc::new(Message {
+            method: Method::Post,
+            path: item.path.to_string(),
+            headers,
+            body: item.body.0.clone(),
+        }),
+    }
+}
--- a/crates/borageshed/src/job_work/mod.rs
+++ b/crates/borageshed/src/job_work/mod.rs
@@ -2,11 +2,15 @@
 //!
 //! - [`worker`]: the task that claims jobs, starts their items and stores their results.
 //! - [`index`]: which jobs are unfinished and which are claimed.
+//! - [`claim_plan`]: which jobs are unfinished, who runs them and when one is claimed.
 //! - [`claiming`]: claims a job and reads it.
+//! - [`call`]: the request that an item is run with.
 //! - [`item`]: runs one item through the same dispatcher as online requests.
 //! - [`lease`]: the lease under which jobs are claimed.
 //! - [`readers`]: what the owner of a job tells those that serve its callers.
 
+pub mod call;
+pub mod claim_plan;
 pub mod claiming;
 pub mod index;
 pub mod item;
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -1,35 +1,27 @@
 //! The task that claims jobs, starts their items and stores their results.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use async_std::task;
 use futures::future::{AbortHandle, Either, abortable, select};
-use http_types::{Method, headers::HeaderValue};
 use jobs::{
-    ItemEnd, JobId, JobRun, OpenJob, Sighting, claim,
+    ItemEnd, JobId, JobRun,
     order::{Candidate, RunTimes},
 };
 use kv_store::{Committed, LeaseId};
-use policy::dispatch::Class;
 use slog::{debug, info, warn};
-use stdx::{Name, Timestamp};
+use stdx::Timestamp;
 
 use super::{
+    call::call_of,
+    claim_plan::{ClaimPlan, Due},
     claiming::{self, Handed},
     index::{self, IndexChange},
     item::{self, ItemTerms},
     lease::LeaseEvent,
     readers::{Known, Question, Readers},
 };
-use crate::{
-    online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS, event_data::EventData},
-    peers::Peers,
-    shared::Shared,
-};
+use crate::{online::event_data::EventData, peers::Peers, shared::Shared};
 
 /// How often claims, results and late items are looked at besides events.
 const TICK: Duration = Duration::from_millis(100);
@@ -37,10 +29,6 @@
 const MAX_WAITING: usize = 4;
 /// Items that run or wait at once, which bounds the memory for their output.
 const MAX_ITEMS: usize = 96;
-/// How long a job that the index tells of is left for whoever accepted it to hand it over, which spares reading it.
-const HAND_OVER_TIME: Duration = Duration::from_millis(60);
-/// The pause before a claim is tried again that failed.
-const CLAIM_RETRY: Duration = Duration::from_millis(500);
 /// The least time between two transactions of a job, unless it has all its results: each one costs a call of the store and
 /// brings callers back for the next, and results are due seconds later.
 const COMMIT_GAP: Duration = Duration::from_millis(400);
@@ -50,8 +38,6 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 /// The items at a time that the worker counts on in any case when it judges whether all items have time.
 const MIN_SLOTS: usize = 8;
-/// The longest time that a target gets for an item.
-const MAX_ITEM_TIME: Duration = Duration::from_secs(120);
 
 enum Event {
     Index(IndexChange),
@@ -74,15 +60,7 @@
     /// Until when the lease surely holds.
     lease_holds_until: Timestamp,
     readers: Readers,
-    open: BTreeMap<JobId, OpenJob>,
-    /// How the unfinished jobs were heard of.
-    seen: BTreeMap<JobId, Sighting>,
-    /// The jobs that are claimed, with the instance that did.
-    claimed: BTreeMap<JobId, Name>,
-    /// The jobs that were handed over and are not claimed yet.
-    handed: BTreeMap<JobId, Handed>,
-    /// When to claim the jobs that nobody has claimed.
-    claim_at: BTreeMap<JobId, Timestamp>,
+    plan: ClaimPlan,
     own: HashMap<JobId, OwnJob>,
     /// Counts the claims of this daemon, so that what an earlier claim of a job left behind is told from the present one.
     claims: u64,
@@ -158,6 +136,7 @@
             }
         }
     });
+    let plan = ClaimPlan::new(cx.settings.instance.clone());
     let mut worker = Worker {
         cx,
         events,
@@ -165,11 +144,7 @@
         lease: None,
         lease_holds_until: Timestamp::ZERO,
         readers: Readers::default(),
-        open: BTreeMap::new(),
-        seen: BTreeMap::new(),
-        claimed: BTreeMap::new(),
-        handed: BTreeMap::new(),
-        claim_at: BTreeMap::new(),
+        plan,
         own: HashMap::new(),
         claims: 0,
         waiting: 0,
@@ -202,7 +177,7 @@
 impl Worker {
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Index(change) => self.index_changed(change),
+            Event::Index(change) => self.on_index(change),
             Event::Lease(LeaseEvent::Granted(lease)) => self.lease = Some(lease),
             Event::Lease(LeaseEvent::HoldsUntil(until)) => self.lease_holds_until = until,
             Event::Lease(LeaseEvent::Lost) => {
@@ -211,37 +186,18 @@
                 given_up.into_iter().for_each(|it| self.drop_job(&it, "lease lost"));
             }
             Event::Claimed { id, lease, loaded } => self.on_claimed(id, lease, loaded),
-            Event::NotClaimed { id } => {
-                // The claim may have been made, so what others see of it does not count here.
-                if self.open.contains_key(&id) && !self.own.contains_key(&id) {
-                    self.claim_at.insert(id, self.cx.clock.now() + CLAIM_RETRY);
-                }
-            }
+            Event::NotClaimed { id } => self.plan.retry(self.cx.clock.now(), &id),
             Event::ItemPlaced => self.waiting = self.waiting.saturating_sub(1),
             Event::ItemEnded { id, claim, index, ended } => {
                 self.on_item_ended(&id, claim, index, *ended)
             }
             Event::Committed { id, claim, outcome } => self.on_committed(&id, claim, outcome),
-            Event::Accepted(handed) => self.on_accepted(*handed),
+            Event::Accepted(handed) => self.plan.hand_over(self.cx.clock.now(), *handed),
             Event::Asked(question) => self.readers.ask(self.cx.clock.now(), question),
             Event::Tick => self.has_time = self.judge_time(self.cx.clock.now()),
         }
     }
 
-    /// Takes a job that was handed over, unless the index has told of it and its end.
-    fn on_accepted(&mut self, handed: Handed) {
-        let (id, open) = (handed.id.clone(), handed.open.clone());
-        if self.own.contains_key(&id) || self.claimed.contains_key(&id) {
-            return;
-        }
-        let now = self.cx.clock.now();
-        self.handed.insert(id.clone(), handed);
-        self.open.insert(id.clone(), open);
-        self.seen.entry(id.clone()).or_insert(Sighting { at: now, is_fresh: true });
-        // Whoever hands a job over takes this daemon for the one that claims it first.
-        self.claim_at.insert(id, now);
-    }
-
     /// Returns whether all items that wait would end well before they are due.
     fn judge_time(&self, now: Timestamp) -> bool {
         let waiting = self.own.values().flat_map(|job| job.run.waiting().map(move |it| (job, it)));
@@ -251,69 +207,13 @@
         self.run_times.has_time(items, slots, now)
     }
 
-    fn index_changed(&mut self, change: IndexChange) {
-        let now = self.cx.clock.now();
-        match change {
-            IndexChange::Listed { open, claimed } => {
-                let seen = Sighting { at: now, is_fresh: false };
-                for id in open.keys() {
-                    self.seen.entry(id.clone()).or_insert(seen);
-                }
-                let closed: Vec<JobId> =
-                    self.own.keys().filter(|it| !open.contains_key(*it)).cloned().collect();
-                self.open = open;
-                self.claimed = claimed;
-                closed.iter().for_each(|it| self.drop_job(it, "job ended"));
-                // A job that was handed over just now may be newer than the listing.
-                self.handed.retain(|it, _| self.claim_at.contains_key(it));
-                for (id, handed) in &self.handed {
-                    self.open.entry(id.clone()).or_insert_with(|| handed.open.clone());
-                }
-                self.claim_at.retain(|it, _| self.open.contains_key(it));
-                self.seen.retain(|it, _| self.open.contains_key(it));
-                for id in self.open.keys().cloned().collect::<Vec<_>>() {
-                    self.plan_claim(now, id);
-                }
-            }
-            IndexChange::Open(id, job) => {
-                self.seen.entry(id.clone()).or_insert(Sighting { at: now, is_fresh: true });
-                if self.open.insert(id.clone(), job).is_none() {
-                    self.plan_claim(now, id);
-                }
+    fn on_index(&mut self, change: IndexChange) {
+        let runners = self.cx.item_runners();
+        for id in self.plan.on_change(self.cx.clock.now(), change, &runners) {
+            // The end that this daemon has stored itself is noted with the answer of the store.
+            if self.own.get(&id).is_some_and(|it| !it.run.is_ended()) {
+                self.drop_job(&id, "job ended");
             }
-            IndexChange::Closed(id) => {
-                self.open.remove(&id);
-                self.claim_at.remove(&id);
-                self.handed.remove(&id);
-                self.seen.remove(&id);
-                if self.own.get(&id).is_some_and(|it| !it.run.is_ended()) {
-                    self.drop_job(&id, "job ended");
-                }
-            }
-            IndexChange::Claimed(id, owner) => {
-                // A claim of this daemon whose job could not be read yet is tried again.
-                if owner != self.cx.settings.instance {
-                    self.claim_at.remove(&id);
-                }
-                self.claimed.insert(id, owner);
-            }
-            IndexChange::ClaimEnded(id) => {
-                self.claimed.remove(&id);
-                self.plan_claim(now, id);
-            }
-        }
-    }
-
-    fn plan_claim(&mut self, now: Timestamp, id: JobId) {
-        let is_free = self.open.contains_key(&id)
-            // A claim of this daemon whose job it does not run is taken up again.
-            && self.claimed.get(&id).is_none_or(|it| *it == self.cx.settings.instance)
-            && !self.own.contains_key(&id)
-            && !self.claim_at.contains_key(&id);
-        if is_free {
-            let runners = self.cx.item_runners();
-            let delay = claim::delay(&id, &self.cx.settings.instance, &runners);
-            self.claim_at.insert(id, now + HAND_OVER_TIME + delay);
         }
     }
 
@@ -334,15 +234,14 @@
             return;
         }
         let holds = now < self.lease_holds_until;
-        let own_name = &self.cx.settings.instance;
-        let (own, open, claimed) = (&self.own, &self.open, &self.claimed);
+        let (own, plan) = (&self.own, &self.plan);
         let replies = self.readers.answer(now, |id| {
-            let owner = claimed.get(id).filter(|it| *it != own_name);
+            let owner = plan.other_owner(id);
             Known {
                 owned: own.get(id).filter(|_| holds).map(|it| &it.run),
                 owner,
                 // A job that is not known may have been accepted just now.
-                is_to_be_claimed: owner.is_none() && (open.contains_key(id) || holds),
+                is_to_be_claimed: owner.is_none() && (plan.is_open(id) || holds),
             }
         });
         for reply in replies {
@@ -352,15 +251,8 @@
 
     fn claim_due(&mut self, now: Timestamp) {
         let Some(lease) = self.lease else { return };
-        let due: Vec<JobId> =
-            self.claim_at.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
-        for id in due {
-            self.claim_at.remove(&id);
-            let Some(route) = self.open.get(&id).map(|it| it.route.clone()) else { continue };
+        for Due { id, route, handed, seen } in self.plan.take_due(now) {
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
-            let handed = self.handed.remove(&id);
-            let seen = Sighting { at: now, is_fresh: false };
-            let seen = self.seen.get(&id).copied().unwrap_or(seen);
             task::spawn(async move {
                 let claimed = match handed {
                     Some(handed) => claiming::claim_handed(&cx, lease, handed, seen).await,
@@ -399,10 +291,12 @@
             commit_after: now,
             retry_after: now,
         };
+        self.plan.start(id.clone());
         self.own.insert(id, job);
     }
 
     fn drop_job(&mut self, id: &JobId, reason: &'static str) {
+        self.plan.stop(id);
         if self.own.remove(id).is_some() {
             info!(self.cx.log, "job given up here"; "job" => id.as_str(), "reason" => reason);
         }
@@ -507,6 +401,7 @@
                 if job.run.is_ended() {
                     self.readers.keep_ended(job.run.clone());
                     self.own.remove(id);
+                    self.plan.stop(id);
                 }
             }
             Ok(Committed::Lost(_)) => self.lose_job(id, "the job was changed by another"),
@@ -526,9 +421,7 @@
     /// that hid the outcome, and a job that is claimed but not run would wait for ever.
     fn lose_job(&mut self, id: &JobId, reason: &'static str) {
         self.drop_job(id, reason);
-        if self.open.contains_key(id) {
-            self.claim_at.insert(id.clone(), self.cx.clock.now() + CLAIM_RETRY);
-        }
+        self.plan.retry(self.cx.clock.now(), id);
     }
 }
 
@@ -560,40 +453,3 @@
         events: job.begun.get(&index).map_or(0, |it| it.output.events()),
     }
 }
-
-fn call_of(cx: &Shared, run: &JobRun, item: &jobs::Item) -> Call {
-    let record = run.record();
-    let left = run.times().give_up_at.since(cx.clock.now());
-    let time = left.clamp(Duration::from_secs(1), MAX_ITEM_TIME);
-    let header = |(name, value): (&Name, &Name)| {
-        let value = HeaderValue::from_bytes(value.as_bytes().to_vec()).ok()?;
-        Some((name.to_ascii_lowercase(), value))
-    };
-    let mut headers: Vec<_> = item.headers.iter().filter_map(header).collect();
-    if let Ok(host) = HeaderValue::from_bytes(record.host.as_bytes().to_vec()) {
-        headers.push(("host".to_owned(), host));
-    }
-    let account = record.account();
-    Call {
-        request_id: item.id.to_string(),
-        service: record.service(),
-        account_id: Some(policy::rate::AccountId::of(&account)),
-        account,
-        key: None,
-        weight: 1,
-        class: Class::Batch,
-        cost: item.tokens,
-        idempotent: true,
-        timeout: time,
-        deadline: Some(cx.clock.now() + time),
-        max_attempts: UNLIMITED_ATTEMPTS,
-        resumption: Resumption::AnyTarget { after: None },
-        prefix: None,
-        message: Arc::new(Message {
-            method: Method::Post,
-            path: item.path.to_string(),
-            headers,
-            body: item.body.0.clone(),
-        }),
-    }
-}
--- /dev/null
+++ b/crates/borageshed/tests/claim_plan.rs
@@ -0,0 +1,142 @@
+//! When a daemon claims the jobs that it hears of.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use borageshed::job_work::{claim_plan::ClaimPlan, claiming::Handed, index::IndexChange};
+use fleet::{BatchTerms, Kind, QualifiedName};
+use jobs::{Item, JobId, OpenJob, Submission, claim, model::Bytes};
+use peer::JobAccepted;
+use stdx::{Name, Timestamp};
+
+/// How long the last daemon in line may leave a job that nobody claims.
+const MAX_DELAY: Duration = Duration::from_secs(6);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn runners(count: usize) -> BTreeSet<Name> {
+    (0..count).map(|it| Name::from(format!("worker-{it}"))).collect()
+}
+
+fn id(text: &str) -> JobId {
+    JobId::parse(text).expect("valid")
+}
+
+fn handed(job: &str) -> Handed {
+    let item = Item {
+        id: "item".into(),
+        path: "/jobs/x".into(),
+        headers: BTreeMap::new(),
+        body: Bytes(b"body".to_vec()),
+        tokens: 100,
+    };
+    let submission = Submission {
+        id: id(job),
+        account: QualifiedName::new("operator", Kind::Account, "acme"),
+        service: QualifiedName::new("operator", Kind::Service, "engine"),
+        route: "route".into(),
+        host: "shop.example".into(),
+        items: vec![item],
+        terms: BatchTerms {
+            due: Duration::from_secs(18),
+            give_up_after: Duration::from_secs(60),
+            max_waiting_tokens: None,
+        },
+        max_attempts: 2,
+        received_ms: 0,
+    };
+    let transaction = submission.transaction().expect("valid");
+    let value_of = |key: String| {
+        let write = transaction.writes.iter().find(|it| *it.key == *key);
+        write.expect("the acceptance writes it").value.clone().into()
+    };
+    let accepted = JobAccepted {
+        job: job.to_owned(),
+        record: value_of(id(job).record()),
+        open: value_of(id(job).open()),
+        parts: vec![value_of(id(job).part(0))],
+        revision: 5,
+    };
+    Handed::read(&accepted).expect("valid")
+}
+
+fn open(job: &str) -> (JobId, OpenJob) {
+    let handed = handed(job);
+    (handed.id, handed.open)
+}
+
+/// The plan of the daemon that is first in line for the job.
+fn first_in_line(job: &str, runners: &BTreeSet<Name>) -> ClaimPlan {
+    ClaimPlan::new(claim::first(&id(job), runners).expect("there are daemons").clone())
+}
+
+fn due(plan: &mut ClaimPlan, millis: u64) -> Vec<(String, bool)> {
+    let due = plan.take_due(at(millis));
+    due.into_iter().map(|it| (it.id.as_str().to_owned(), it.handed.is_some())).collect()
+}
+
+/// Guards against a job that is claimed twice by one daemon, once as it is handed over and once as the index tells of it.
+#[test]
+fn a_job_that_is_handed_over_and_then_told_of_is_claimed_once() {
+    let runners = runners(45);
+    let mut plan = first_in_line("job-1", &runners);
+    plan.hand_over(at(0), handed("job-1"));
+    let (id, job) = open("job-1");
+    plan.on_change(at(10), IndexChange::Open(id, job), &runners);
+    assert_eq!(due(&mut plan, 10), [("job-1".to_owned(), true)]);
+    assert_eq!(due(&mut plan, 60_000), []);
+}
+
+/// Guards against the loss of a job that was accepted while the index was being read.
+#[test]
+fn a_job_that_is_newer_than_the_listing_stays_known() {
+    let runners = runners(45);
+    let mut plan = first_in_line("job-1", &runners);
+    plan.hand_over(at(0), handed("job-1"));
+    let listing = IndexChange::Listed { open: BTreeMap::new(), claimed: BTreeMap::new() };
+    plan.on_change(at(5), listing, &runners);
+    assert_eq!(due(&mut plan, 5), [("job-1".to_owned(), true)]);
+}
+
+/// Guards against a job that waits for ever because its claim was made and its items could not be read.
+#[test]
+fn a_job_that_could_not_be_read_is_claimed_again_although_the_index_names_this_daemon() {
+    let runners = runners(45);
+    let mut plan = first_in_line("job-1", &runners);
+    let own = claim::first(&id("job-1"), &runners).expect("there are daemons").clone();
+    let (job_id, job) = open("job-1");
+    plan.on_change(at(0), IndexChange::Open(job_id.clone(), job), &runners);
+    assert_eq!(due(&mut plan, 100), [("job-1".to_owned(), false)]);
+    plan.on_change(at(110), IndexChange::Claimed(job_id.clone(), own), &runners);
+    plan.retry(at(120), &job_id);
+    assert_eq!(due(&mut plan, 120), []);
+    assert_eq!(due(&mut plan, 1_000), [("job-1".to_owned(), false)]);
+}
+
+/// Guards against claims that cost a call of each daemon, and against jobs that nobody runs after the loss of their owner.
+#[test]
+fn a_job_that_another_daemon_runs_is_claimed_only_once_that_claim_has_ended() {
+    let runners = runners(45);
+    let mut plan = first_in_line("job-1", &runners);
+    let (job_id, job) = open("job-1");
+    plan.on_change(at(0), IndexChange::Open(job_id.clone(), job), &runners);
+    plan.on_change(at(20), IndexChange::Claimed(job_id.clone(), "other".into()), &runners);
+    assert_eq!(due(&mut plan, 60_000), []);
+    assert_eq!(plan.other_owner(&job_id).map(|it| &**it), Some("other"));
+    plan.on_change(at(60_000), IndexChange::ClaimEnded(job_id), &runners);
+    assert_eq!(due(&mut plan, 60_100), [("job-1".to_owned(), false)]);
+}
+
+/// Guards against jobs that wait for half a minute where many daemons run items and those ahead in line are gone.
+#[test]
+fn the_last_of_many_daemons_claims_a_job_within_seconds() {
+    let runners = runners(370);
+    for runner in &runners {
+        let delay = claim::delay(&id("job-1"), runner, &runners);
+        assert!(delay <= MAX_DELAY, "{runner} waits for {delay:?}");
+    }
+}
--- a/crates/jobs/src/claim.rs
+++ b/crates/jobs/src/claim.rs
@@ -13,6 +13,8 @@
 
 /// How much later the next daemon in line takes a job that nobody has claimed.
 const TURN: Duration = Duration::from_millis(700);
+/// The most turns that a daemon leaves to others; that so many in line are gone at once is unlikely.
+const MAX_TURNS: u32 = 8;
 
 /// Returns the daemon that claims a job at once, if it can.
 pub fn first<'a>(id: &JobId, daemons: impl IntoIterator<Item = &'a Name>) -> Option<&'a Name> {
@@ -24,7 +26,7 @@
     let rank = |it: &Name| (score(id, it), it.clone());
     let own = rank(own);
     let ahead = daemons.into_iter().map(rank).filter(|it| *it > own).count();
-    TURN * u32::try_from(ahead).unwrap_or(u32::MAX)
+    TURN * u32::try_from(ahead).map_or(MAX_TURNS, |it| it.min(MAX_TURNS))
 }
 
 /// Returns the transaction that claims a job which nobody has claimed before; it loses if somebody has, or if the record is
