Follow the index of jobs through relays

Change: relays pass on the prefix of open jobs as they pass on targets and configuration, and ask for it at the pace that the workers used (up to 1.2 s of changes in one answer). The bound on stale reads is the one of relays.

Ruled out: a longer gathering time for workers, since a job that has ended must be stopped within 3 s.

--- a/crates/borageshed/src/job_work/index.rs
+++ b/crates/borageshed/src/job_work/index.rs
@@ -11,7 +11,7 @@
 
 /// How the index is followed. Whoever accepts a job tells the daemon that claims it; a job that has ended must be stopped
 /// within 3 s.
-const PACE: Pace =
+pub const PACE: Pace =
     Pace { wait: Duration::from_secs(15), max_gathering: Duration::from_millis(1_200) };
 
 /// A change of the index or of the claims.
--- a/crates/borageshed/src/peers/reads.rs
+++ b/crates/borageshed/src/peers/reads.rs
@@ -17,7 +17,7 @@
 use overlay::View;
 use peer::{Message, ReadAnswer, ReadRequest, ReadStatus, StoredItem};
 use platform::{
-    mirror::{Answer, News, Position, Question, Relays, Sharing},
+    mirror::{Answer, News, Pace, Position, Question, Relays, Sharing},
     store::{RawItem, wire::Blob},
 };
 use slog::debug;
@@ -26,6 +26,7 @@
 use super::{Inner, Peers, pending::Pending};
 use crate::{
     effects::{POISON_PREFIX, SLOTS_PREFIX},
+    job_work::index,
     shared::Shared,
 };
 
@@ -57,7 +58,11 @@
     /// Lets the daemon read what it follows through relays.
     pub(super) fn share_reads(&self, cx: &Shared) {
         let relays = RelayLinks { inner: Arc::downgrade(&self.inner) };
-        let prefixes = vec![SLOTS_PREFIX, POISON_PREFIX];
+        let prefixes = vec![
+            (SLOTS_PREFIX, Pace::default()),
+            (POISON_PREFIX, Pace::default()),
+            (jobs::key::FOLLOWED_PREFIX, index::PACE),
+        ];
         let sharing = Sharing { leading: MEMBERS_PREFIX, prefixes };
         cx.platform_store().use_relays(Arc::new(relays), sharing);
     }
