--- a/crates/borageshed/examples/capacity/load.rs
+++ b/crates/borageshed/examples/capacity/load.rs
@@ -1,4 +1,4 @@
-//! Sends requests at a fixed rate and records their latency.
+//! Sends requests at a fixed rate.
 
 use std::{
     net::SocketAddr,
@@ -8,7 +8,6 @@
 use anyhow::{Result, ensure};
 use async_std::{net::TcpStream, task};
 use futures::future::try_join_all;
-use hdrhistogram::Histogram;
 use http_types::{Method, Request, Url};
 
 use crate::document::LOAD_KEY;
@@ -17,23 +16,8 @@
 /// here, since it removes the key of the caller.
 const WORKERS: u32 = 64;
 
-/// What a load met.
-pub struct Load {
-    /// Latencies from the planned time to the end of the answer, in microseconds.
-    pub latencies: Histogram<u64>,
-}
-
-impl Load {
-    /// Returns a latency in milliseconds.
-    pub fn ms(&self, quantile: f64) -> f64 {
-        self.latencies.value_at_quantile(quantile) as f64 / 1_000.0
-    }
-}
-
-/// Sends GET requests for `path` at `rate` requests per second.
-///
-/// Latencies count from the planned time, so that a stall is not hidden by requests that are sent later.
-pub async fn run(address: SocketAddr, path: &str, rate: u32, time: Duration) -> Result<Load> {
+/// Sends GET requests for `path` at `rate` requests per second; returns their number.
+pub async fn run(address: SocketAddr, path: &str, rate: u32, time: Duration) -> Result<u64> {
     let url = Url::parse(&format!("http://{address}{path}"))?;
     let interval = Duration::from_secs(1) * WORKERS / rate;
     let start = Instant::now();
@@ -41,11 +25,7 @@
         let pace = Pace { first: start + interval * n / WORKERS, interval, end: start + time };
         task::spawn(worker(address, url.clone(), pace))
     });
-    let mut latencies = Histogram::new(3)?;
-    for part in try_join_all(workers).await? {
-        latencies.add(part)?;
-    }
-    Ok(Load { latencies })
+    Ok(try_join_all(workers).await?.into_iter().sum())
 }
 
 /// When a worker sends.
@@ -56,8 +36,8 @@
     end: Instant,
 }
 
-async fn worker(address: SocketAddr, url: Url, pace: Pace) -> Result<Histogram<u64>> {
-    let mut latencies = Histogram::new(3)?;
+async fn worker(address: SocketAddr, url: Url, pace: Pace) -> Result<u64> {
+    let mut requests = 0;
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let mut planned = pace.first;
@@ -70,8 +50,8 @@
         let body = res.body_bytes().await.map_err(http_types::Error::into_inner)?;
         let text = String::from_utf8_lossy(&body);
         ensure!(u16::from(res.status()) == 200, "{}: {text}", res.status());
-        latencies.record(planned.elapsed().as_micros() as u64)?;
+        requests += 1;
         planned += pace.interval;
     }
-    Ok(latencies)
+    Ok(requests)
 }
--- a/crates/borageshed/examples/capacity/main.rs
+++ b/crates/borageshed/examples/capacity/main.rs
@@ -1,4 +1,5 @@
-//! Measures how the cost of a deployment grows with its size; `docs/CAPACITY.md` computes the expected size from it.
+//! Measures how the cost of a daemon grows with what the users' sweep keeps the same: accounts, targets, open jobs and idle
+//! connections. `docs/CAPACITY.md` computes the expected size from both.
 //!
 //! Run with `cargo run --release -p borageshed --example capacity -- <series>` after
 //! `cargo build --release --workspace --bins --examples`, which builds the daemon and the stand-ins that it starts.
@@ -13,15 +14,12 @@
 use clap::{Parser, Subcommand};
 
 mod accounts;
-mod batch;
 mod connections;
-mod daemons;
 mod document;
 mod load;
 mod measure;
-mod requests;
+mod open_jobs;
 mod targets;
-mod tokens;
 
 /// Measures slopes of processor time, memory, messages and calls.
 #[derive(Debug, Parser)]
@@ -44,30 +42,6 @@
         #[arg(long, value_delimiter = ',', default_value = "57,114,228,455,910")]
         counts: Vec<usize>,
     },
-    /// Daemons double: idle cost, messages, calls on the platform's service and the time of an edit.
-    Daemons {
-        /// Numbers of daemons.
-        #[arg(long, value_delimiter = ',', default_value = "3,6,12,24")]
-        counts: Vec<usize>,
-    },
-    /// Requests per second double: processor time per request and added latency.
-    Requests {
-        /// Requests per second.
-        #[arg(long, value_delimiter = ',', default_value = "250,500,1000,2000")]
-        rates: Vec<u32>,
-    },
-    /// Streams double: processor time per streamed token.
-    Tokens {
-        /// Numbers of streams that run at once.
-        #[arg(long, value_delimiter = ',', default_value = "8,16,32,64")]
-        streams: Vec<usize>,
-    },
-    /// Batch items double: calls, bytes and processor time per item.
-    Items {
-        /// Numbers of items of one job.
-        #[arg(long, value_delimiter = ',', default_value = "512,1024,2048,4096")]
-        counts: Vec<usize>,
-    },
     /// Open jobs double while daemons have no room: calls and bytes.
     OpenJobs {
         /// Numbers of open jobs.
@@ -89,11 +63,7 @@
         match args.series {
             Series::Accounts { counts } => accounts::run(&counts).await,
             Series::Targets { counts } => targets::run(&counts).await,
-            Series::Daemons { counts } => daemons::run(&counts).await,
-            Series::Requests { rates } => requests::run(&rates).await,
-            Series::Tokens { streams } => tokens::run(&streams).await,
-            Series::Items { counts } => batch::items(&counts).await,
-            Series::OpenJobs { counts } => batch::open_jobs(&counts).await,
+            Series::OpenJobs { counts } => open_jobs::run(&counts).await,
             Series::Connections { counts } => connections::run(&counts).await,
         }
     })?;
--- a/crates/borageshed/examples/capacity/targets.rs
+++ b/crates/borageshed/examples/capacity/targets.rs
@@ -70,9 +70,9 @@
     task::sleep(SETTLE).await;
     let idle = measure::over(&deployment, WINDOW).await?;
     let mark = measure::Mark::take(&deployment).await?;
-    let load = load::run(deployment.caller_address(0), "/orders/orders", RATE, WINDOW).await?;
+    let requests = load::run(deployment.caller_address(0), "/orders/orders", RATE, WINDOW).await?;
     let used = mark.usage(&deployment).await?;
-    let requests = load.latencies.len() as f64;
+    let requests = requests as f64;
     let control = used.cpu[0].control - idle.cpu[0].control * used.seconds / idle.seconds;
     let process = used.cpu[0].all - idle.cpu[0].all * used.seconds / idle.seconds;
     say(&format!(
