--- /dev/null
+++ b/crates/borageshed/src/peers/configuration.rs
@@ -0,0 +1,110 @@
+//! The parts of the configuration that daemons fetch from each other.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use async_std::future::timeout;
+use fleet::revision::{self, Chunks, Head};
+use peer::{ConfigChunk, ConfigFetch, Message};
+use slog::debug;
+use stdx::Name;
+
+use super::Peers;
+use crate::{config_sync::PeerRevision, shared::Shared};
+
+/// How long a peer may take to send a part of its configuration.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The parts that tasks wait for.
+#[derive(Debug, Default)]
+pub(super) struct Parts(Mutex<BTreeMap<PartKey, async_channel::Sender<ConfigChunk>>>);
+
+/// A part of a peer's configuration that a task waits for; an empty digest stands for the head.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct PartKey {
+    peer: Name,
+    digest: Vec<u8>,
+}
+
+impl Peers {
+    /// Fetches the configuration that a peer has in force; `None` if it does not send all of it in time.
+    pub async fn fetch_configuration(&self, peer: &Name, known: &Chunks) -> Option<(Head, Chunks)> {
+        let head = self.fetch_part(peer, &[]).await?;
+        let head: Head = serde_json::from_slice(&head).ok()?;
+        let mut chunks = Chunks::new();
+        for digest in head.digests() {
+            let chunk = match known.get(digest) {
+                Some(chunk) => Arc::clone(chunk),
+                None => {
+                    let content =
+                        self.fetch_part(peer, &hex::decode(digest.as_str()).ok()?).await?;
+                    (revision::digest(&content) == *digest)
+                        .then(|| Arc::from(content.as_slice()))?
+                }
+            };
+            chunks.insert(digest.clone(), chunk);
+        }
+        Some((head, chunks))
+    }
+
+    async fn fetch_part(&self, peer: &Name, digest: &[u8]) -> Option<Vec<u8>> {
+        let (tx, rx) = async_channel::bounded(1);
+        let key = PartKey { peer: peer.clone(), digest: digest.to_vec() };
+        self.inner.parts.lock().insert(key.clone(), tx);
+        let digests = if digest.is_empty() { Vec::new() } else { vec![digest.to_vec().into()] };
+        let fetch = Message::ConfigFetch(ConfigFetch { revision: 0, digests });
+        self.send(Some(peer), &fetch);
+        let part = timeout(FETCH_TIMEOUT, rx.recv()).await.ok().and_then(Result::ok);
+        self.inner.parts.lock().remove(&key);
+        part.map(|it| it.content.to_vec())
+    }
+
+    /// Hands a part over to the task that waits for it.
+    pub(super) fn take_part(&self, from: Name, chunk: ConfigChunk) {
+        let key = PartKey { peer: from, digest: chunk.digest.to_vec() };
+        if let Some(tx) = self.inner.parts.lock().get(&key) {
+            // A part that arrives twice is the same part.
+            let _ = tx.try_send(chunk);
+        }
+    }
+
+    /// Tells the task that keeps the configuration up to date if a peer is ahead.
+    pub(super) fn note_revision(&self, cx: &Shared, peer: &Name, revision: u64) {
+        if revision > cx.in_force.number() || cx.in_force.get().is_none() {
+            // A full queue holds news of the same kind.
+            let _ = self.inner.news.try_send(PeerRevision { peer: peer.clone(), revision });
+        }
+    }
+
+    pub(super) fn send_configuration(&self, cx: &Shared, to: &Name, fetch: &ConfigFetch) {
+        let Some(in_force) = cx.in_force.get() else { return };
+        let Some(stored) = &in_force.stored else { return };
+        let revision = in_force.number();
+        let send = |digest: Vec<u8>, content: Vec<u8>| {
+            let chunk = ConfigChunk { revision, digest: digest.into(), content: content.into() };
+            if let Err(e) = self.inner.hub.send(to, &Message::ConfigChunk(chunk)) {
+                debug!(cx.log, "configuration not sent"; "peer" => %to, "error" => %e);
+            }
+        };
+        if fetch.digests.is_empty() {
+            if let Ok(head) = serde_json::to_vec(&stored.head) {
+                send(Vec::new(), head);
+            }
+            return;
+        }
+        for digest in &fetch.digests {
+            if let Some(chunk) = stored.chunks.get(hex::encode(digest).as_str()) {
+                send(digest.to_vec(), chunk.to_vec());
+            }
+        }
+    }
+}
+
+impl Parts {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<PartKey, async_channel::Sender<ConfigChunk>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -1,11 +1,13 @@
 //! What daemons tell each other: requests in flight, loans, configuration, followed keys, verdicts and cancellations.
 //!
+//! - `configuration`: the parts of the configuration that daemons fetch from each other.
 //! - `jobs`: questions to the daemons that run batch jobs.
 //! - `links`: which daemons this one links with, and through which relay it speaks.
 //! - `loads`: what daemons tell each other of their requests in flight.
 //! - `pending`: questions to other daemons that await their answers.
 //! - `reads`: reads of the key-value service through relays.
 
+mod configuration;
 mod jobs;
 mod links;
 mod loads;
@@ -22,13 +24,12 @@
     time::Duration,
 };
 
-use async_std::{future::timeout, task};
+use async_std::task;
 use bytes::Bytes;
-use fleet::revision::{self, Chunks, Head};
 use overlay::{Frame, Hop, LoadBook, Member, Report, Role};
 use peer::{
-    ConfigChunk, ConfigFetch, Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled,
-    JobRequest, Leaving, LinkRole, Loads, Message, PeerEvent, PoisonVerdict, SendError, message,
+    Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled, JobRequest, Leaving,
+    LinkRole, Loads, Message, PeerEvent, PoisonVerdict, SendError, message,
 };
 use policy::{
     dispatch::{Claim, Event, Fingerprint, Suspicion},
@@ -49,8 +50,6 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// The shortest time between two heartbeats that are sent before they are due; a burst needs one to stop batch.
 const MIN_SHARE_INTERVAL: Duration = Duration::from_millis(20);
-/// How long a peer may take to send a part of its configuration.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Events of the links that may wait; a full channel holds the links back.
 const QUEUED_EVENTS: usize = 256;
 
@@ -73,17 +72,10 @@
     round: AtomicU64,
     shared_at: Mutex<Option<Timestamp>>,
     domains: Mutex<BTreeMap<Name, Name>>,
-    parts: Mutex<BTreeMap<PartKey, async_channel::Sender<ConfigChunk>>>,
+    parts: configuration::Parts,
     cancelled: (async_channel::Sender<JobCancelled>, async_channel::Receiver<JobCancelled>),
 }
 
-/// A part of a peer's configuration that a task waits for; an empty digest stands for the head.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct PartKey {
-    peer: Name,
-    digest: Vec<u8>,
-}
-
 impl Peers {
     /// Listens for other daemons.
     ///
@@ -118,7 +110,7 @@
             round: AtomicU64::new(0),
             shared_at: Mutex::default(),
             domains: Mutex::default(),
-            parts: Mutex::default(),
+            parts: configuration::Parts::default(),
             cancelled: async_channel::unbounded(),
         };
         let peers = Self { inner: Arc::new(inner) };
@@ -266,44 +258,6 @@
         self.send(None, &Message::Leaving(Leaving {}));
     }
 
-    /// Fetches the configuration that a peer has in force; `None` if it does not send all of it in time.
-    pub async fn fetch_configuration(&self, peer: &Name, known: &Chunks) -> Option<(Head, Chunks)> {
-        let head = self.fetch_part(peer, &[]).await?;
-        let head: Head = serde_json::from_slice(&head).ok()?;
-        let mut chunks = Chunks::new();
-        for digest in head.digests() {
-            let chunk = match known.get(digest) {
-                Some(chunk) => Arc::clone(chunk),
-                None => {
-                    let content =
-                        self.fetch_part(peer, &hex::decode(digest.as_str()).ok()?).await?;
-                    (revision::digest(&content) == *digest)
-                        .then(|| Arc::from(content.as_slice()))?
-                }
-            };
-            chunks.insert(digest.clone(), chunk);
-        }
-        Some((head, chunks))
-    }
-
-    async fn fetch_part(&self, peer: &Name, digest: &[u8]) -> Option<Vec<u8>> {
-        let (tx, rx) = async_channel::bounded(1);
-        let key = PartKey { peer: peer.clone(), digest: digest.to_vec() };
-        self.parts().insert(key.clone(), tx);
-        let digests = if digest.is_empty() { Vec::new() } else { vec![digest.to_vec().into()] };
-        let fetch = Message::ConfigFetch(ConfigFetch { revision: 0, digests });
-        self.send(Some(peer), &fetch);
-        let part = timeout(FETCH_TIMEOUT, rx.recv()).await.ok().and_then(Result::ok);
-        self.parts().remove(&key);
-        part.map(|it| it.content.to_vec())
-    }
-
-    fn parts(
-        &self,
-    ) -> std::sync::MutexGuard<'_, BTreeMap<PartKey, async_channel::Sender<ConfigChunk>>> {
-        self.inner.parts.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn book(&self) -> MutexGuard<'_, LoadBook> {
         self.inner.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -386,14 +340,8 @@
 fn handle(cx: &Shared, peers: &Peers, from: Name, message: Message) {
     match message {
         Message::Heartbeat(heartbeat) => on_heartbeat(cx, peers, &from, &heartbeat),
-        Message::ConfigFetch(fetch) => send_configuration(cx, peers, &from, &fetch),
-        Message::ConfigChunk(chunk) => {
-            let key = PartKey { peer: from, digest: chunk.digest.to_vec() };
-            if let Some(tx) = peers.parts().get(&key) {
-                // A part that arrives twice is the same part.
-                let _ = tx.try_send(chunk);
-            }
-        }
+        Message::ConfigFetch(fetch) => peers.send_configuration(cx, &from, &fetch),
+        Message::ConfigChunk(chunk) => peers.take_part(from, chunk),
         Message::PoisonVerdict(verdict) => {
             let Ok(fingerprint) = Fingerprint::try_from(verdict.fingerprint.as_ref()) else {
                 return;
@@ -442,7 +390,7 @@
 }
 
 fn on_heartbeat(cx: &Shared, peers: &Peers, from: &Name, heartbeat: &Heartbeat) {
-    note_revision(cx, peers, from, heartbeat.revision);
+    peers.note_revision(cx, from, heartbeat.revision);
     let Some(failure_domain) = peers.domain_of(from) else { return };
     let table = cx.directory.get();
     let part = loads::part_of_heartbeat(&table, from, failure_domain, heartbeat);
@@ -450,7 +398,7 @@
 }
 
 fn on_loads(cx: &Arc<Shared>, peers: &Peers, from: &Name, loads: &Loads) {
-    note_revision(cx, peers, from, loads.revision);
+    peers.note_revision(cx, from, loads.revision);
     let (sender, is_relay) =
         peers.inner.links.with_router(|router| (loads::sender(router, from), router.relays_now()));
     let table = cx.directory.get();
@@ -465,37 +413,6 @@
     }
 }
 
-/// Tells the task that keeps the configuration up to date if a peer is ahead.
-fn note_revision(cx: &Shared, peers: &Peers, peer: &Name, revision: u64) {
-    if revision > cx.in_force.number() || cx.in_force.get().is_none() {
-        // A full queue holds news of the same kind.
-        let _ = peers.inner.news.try_send(PeerRevision { peer: peer.clone(), revision });
-    }
-}
-
-fn send_configuration(cx: &Shared, peers: &Peers, to: &Name, fetch: &ConfigFetch) {
-    let Some(in_force) = cx.in_force.get() else { return };
-    let Some(stored) = &in_force.stored else { return };
-    let revision = in_force.number();
-    let send = |digest: Vec<u8>, content: Vec<u8>| {
-        let chunk = ConfigChunk { revision, digest: digest.into(), content: content.into() };
-        if let Err(e) = peers.inner.hub.send(to, &Message::ConfigChunk(chunk)) {
-            debug!(cx.log, "configuration not sent"; "peer" => %to, "error" => %e);
-        }
-    };
-    if fetch.digests.is_empty() {
-        if let Ok(head) = serde_json::to_vec(&stored.head) {
-            send(Vec::new(), head);
-        }
-        return;
-    }
-    for digest in &fetch.digests {
-        if let Some(chunk) = stored.chunks.get(hex::encode(digest).as_str()) {
-            send(digest.to_vec(), chunk.to_vec());
-        }
-    }
-}
-
 async fn renew_heartbeat(cx: Arc<Shared>, peers: Peers) {
     loop {
         peers.upkeep(&cx);
