Wait once for a job that its owner does not know

Cause: a daemon that is asked for a job it does not know keeps the question for 700 ms, since the job may have been accepted just now. That is longer than the asker waits for a question without a wait of its own (500 ms), and it happened at each call about a job that ended before its owner was started again.

Change: a question waits until the asker's patience is half over at most, and a job that stayed unknown once is answered for at once from then on, unless it is open. Up to 4,096 such jobs are remembered.

Tests: a_job_that_stays_unknown_is_waited_for_once and a_question_about_an_unknown_job_is_answered_before_its_asker_gives_up, both failing without the change.

Ruled out: no patience at all; a read right after the acceptance would then always go to the store.

--- a/crates/borageshed/src/job_work/readers.rs
+++ b/crates/borageshed/src/job_work/readers.rs
@@ -4,7 +4,7 @@
 //! its lease surely holds, or once the job has ended.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -12,8 +12,12 @@
 use peer::{JobAnswer, JobRequest, JobStatus};
 use stdx::{Name, Timestamp};
 
-/// How long a question waits for the claim of a job that has just been accepted.
+/// How long an answer may take beyond the time that it may wait for a result; the asker reads the store after it.
+pub const ANSWER_TIME: Duration = Duration::from_millis(500);
+/// How long a question waits for the claim of a job that has just been accepted, if its asker waits that long.
 const CLAIM_PATIENCE: Duration = Duration::from_millis(700);
+/// Jobs that are remembered as unknown here.
+const MAX_ABSENT: usize = 4_096;
 /// The longest time that a question waits for another result.
 const MAX_WAIT: Duration = Duration::from_millis(900);
 /// Questions that wait; further ones are answered at once.
@@ -48,7 +52,18 @@
     /// The daemon that has claimed the job.
     pub owner: Option<&'a Name>,
     /// Whether the job may be claimed here soon.
-    pub is_to_be_claimed: bool,
+    pub prospect: Prospect,
+}
+
+/// Whether a job that this daemon does not run may be claimed by it soon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Prospect {
+    /// It is unfinished, and nobody has claimed it.
+    Due,
+    /// It is not known here: it may have been accepted just now, or have ended.
+    Unknown,
+    /// Another daemon runs it, or this one cannot claim jobs now.
+    Remote,
 }
 
 /// The questions that wait, and the ended jobs.
@@ -59,6 +74,14 @@
     /// The ended jobs in the order of their ends.
     order: VecDeque<JobId>,
     ended_bytes: usize,
+    absent: Absent,
+}
+
+/// The jobs that stayed unknown while a question waited for them.
+#[derive(Debug, Default)]
+struct Absent {
+    jobs: BTreeSet<JobId>,
+    order: VecDeque<JobId>,
 }
 
 #[derive(Debug)]
@@ -100,12 +123,12 @@
         known: impl Fn(&JobId) -> Known<'a>,
     ) -> Vec<Reply> {
         let mut replies = Vec::new();
-        let ended = &self.ended;
+        let (ended, absent) = (&self.ended, &mut self.absent);
         self.waiting.retain(|it| {
             let known = known(&it.job);
             let reply = match known.owned.or_else(|| ended.get(&it.job)) {
                 Some(run) => it.answer_of(now, run),
-                None => it.answer_without_job(now, &known),
+                None => it.answer_without_job(now, &known, absent),
             };
             let is_answered = reply.is_some();
             replies.extend(reply.map(|answer| Reply { to: it.question.from.clone(), answer }));
@@ -120,6 +143,19 @@
     }
 }
 
+impl Absent {
+    fn note(&mut self, job: &JobId) {
+        if self.jobs.insert(job.clone()) {
+            self.order.push_back(job.clone());
+        }
+        if self.order.len() > MAX_ABSENT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.jobs.remove(&oldest);
+        }
+    }
+}
+
 impl Waiting {
     fn answer_of(&self, now: Timestamp, run: &JobRun) -> Option<JobAnswer> {
         let req = &self.question.req;
@@ -147,9 +183,28 @@
         }
     }
 
-    fn answer_without_job(&self, now: Timestamp, known: &Known<'_>) -> Option<JobAnswer> {
-        let may_come = known.is_to_be_claimed && now.since(self.asked_at) < CLAIM_PATIENCE;
-        (!may_come).then(|| self.unsure(known.owner))
+    fn answer_without_job(
+        &self,
+        now: Timestamp,
+        known: &Known<'_>,
+        absent: &mut Absent,
+    ) -> Option<JobAnswer> {
+        let wait = Duration::from_millis(u64::from(self.question.req.wait_ms));
+        // The answer needs time to reach the asker, too.
+        let patience = CLAIM_PATIENCE.min(wait + ANSWER_TIME / 2);
+        let is_patient = now.since(self.asked_at) < patience;
+        match known.prospect {
+            Prospect::Due if is_patient => return None,
+            // Most of those that stay unknown ended before this daemon started. Their callers wait once.
+            Prospect::Unknown if !absent.jobs.contains(&self.job) => {
+                if is_patient {
+                    return None;
+                }
+                absent.note(&self.job);
+            }
+            Prospect::Due | Prospect::Unknown | Prospect::Remote => {}
+        }
+        Some(self.unsure(known.owner))
     }
 
     fn known(&self, run: &JobRun, content: Vec<bytes::Bytes>) -> JobAnswer {
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -19,7 +19,7 @@
     index::{self, IndexChange},
     item::{self, ItemTerms},
     lease::LeaseEvent,
-    readers::{Known, Question, Readers},
+    readers::{Known, Prospect, Question, Readers},
 };
 use crate::{online::event_data::EventData, peers::Peers, shared::Shared};
 
@@ -240,8 +240,12 @@
             Known {
                 owned: own.get(id).filter(|_| holds).map(|it| &it.run),
                 owner,
-                // A job that is not known may have been accepted just now.
-                is_to_be_claimed: owner.is_none() && (plan.is_open(id) || holds),
+                prospect: match owner {
+                    Some(_) => Prospect::Remote,
+                    None if plan.is_open(id) => Prospect::Due,
+                    None if holds => Prospect::Unknown,
+                    None => Prospect::Remote,
+                },
             }
         });
         for reply in replies {
--- a/crates/borageshed/src/peers/jobs.rs
+++ b/crates/borageshed/src/peers/jobs.rs
@@ -6,10 +6,8 @@
 use stdx::Name;
 
 use super::{Peers, pending::Pending};
-use crate::job_work::readers::Question;
+use crate::job_work::readers::{ANSWER_TIME, Question};
 
-/// How long an answer may take beyond the time that it may wait for a result.
-const ANSWER_TIME: Duration = Duration::from_millis(500);
 /// Questions of others that wait to be looked at.
 const MAX_QUEUED: usize = 1_024;
 /// Jobs of others that wait to be looked at.
--- a/crates/borageshed/tests/readers.rs
+++ b/crates/borageshed/tests/readers.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use borageshed::job_work::readers::{Known, Question, Readers, Reply};
+use borageshed::job_work::readers::{ANSWER_TIME, Known, Prospect, Question, Readers, Reply};
 use fleet::{BatchTerms, Kind, QualifiedName};
 use jobs::{Item, ItemEnd, JobId, JobRecord, JobRun, JobTimes, Sighting, Submission, model::Bytes};
 use kv_store::Revision;
@@ -49,13 +49,16 @@
 }
 
 fn ask(readers: &mut Readers, now: Timestamp, after: u32, item: &str) {
-    let req =
-        JobRequest { id: 7, job: "job-1".to_owned(), after, wait_ms: 900, item: item.to_owned() };
+    ask_for(readers, now, after, item, 900);
+}
+
+fn ask_for(readers: &mut Readers, now: Timestamp, after: u32, item: &str, wait_ms: u32) {
+    let req = JobRequest { id: 7, job: "job-1".to_owned(), after, wait_ms, item: item.to_owned() };
     readers.ask(now, Question { from: "entry".into(), req });
 }
 
 fn owned(run: &JobRun) -> Known<'_> {
-    Known { owned: Some(run), owner: None, is_to_be_claimed: false }
+    Known { owned: Some(run), owner: None, prospect: Prospect::Remote }
 }
 
 fn texts(replies: &[Reply]) -> Vec<Vec<String>> {
@@ -87,12 +90,13 @@
 fn an_owner_that_is_not_sure_of_its_claim_tells_nothing() {
     let mut readers = Readers::default();
     ask(&mut readers, at(0), 0, "");
-    let unknown = |_: &JobId| Known { owned: None, owner: None, is_to_be_claimed: false };
+    let unknown = |_: &JobId| Known { owned: None, owner: None, prospect: Prospect::Remote };
     let replies = readers.answer(at(1), unknown);
     assert_eq!(replies[0].answer.status, i32::from(JobStatus::Unsure));
     ask(&mut readers, at(0), 0, "");
     let other = Name::from("other");
-    let elsewhere = |_: &JobId| Known { owned: None, owner: Some(&other), is_to_be_claimed: false };
+    let elsewhere =
+        |_: &JobId| Known { owned: None, owner: Some(&other), prospect: Prospect::Remote };
     assert_eq!(readers.answer(at(1), elsewhere)[0].answer.owner, "other");
 }
 
@@ -100,7 +104,7 @@
 #[test]
 fn a_question_about_a_job_that_is_about_to_be_claimed_waits() {
     let (mut readers, run) = (Readers::default(), run(&["a"]));
-    let soon = |_: &JobId| Known { owned: None, owner: None, is_to_be_claimed: true };
+    let soon = |_: &JobId| Known { owned: None, owner: None, prospect: Prospect::Due };
     ask(&mut readers, at(0), 0, "a");
     assert!(readers.answer(at(300), soon).is_empty());
     assert_eq!(texts(&readers.answer(at(310), |_| owned(&run))), [["body of a"]]);
@@ -117,10 +121,36 @@
     run.commit(at(0)).expect("a result");
     run.on_committed(Revision(6));
     readers.keep_ended(run);
-    let unknown = |_: &JobId| Known { owned: None, owner: None, is_to_be_claimed: false };
+    let unknown = |_: &JobId| Known { owned: None, owner: None, prospect: Prospect::Remote };
     ask(&mut readers, at(0), 0, "");
     ask(&mut readers, at(0), 1, "");
     let replies = readers.answer(at(1), unknown);
     assert_eq!(texts(&replies).iter().map(Vec::len).collect::<Vec<_>>(), [1, 0]);
     assert!(replies.iter().all(|it| it.answer.status == i32::from(JobStatus::Known)));
 }
+
+/// Guards against callers who wait at each call about a job that ended before its owner was started again, and against memory
+/// that grows with such jobs.
+#[test]
+fn a_job_that_stays_unknown_is_waited_for_once() {
+    let mut readers = Readers::default();
+    let unknown = |_: &JobId| Known { owned: None, owner: None, prospect: Prospect::Unknown };
+    ask(&mut readers, at(0), 0, "");
+    assert!(readers.answer(at(300), unknown).is_empty(), "it may have been accepted just now");
+    assert_eq!(readers.answer(at(700), unknown)[0].answer.status, i32::from(JobStatus::Unsure));
+    ask(&mut readers, at(800), 0, "");
+    assert_eq!(readers.answer(at(801), unknown)[0].answer.status, i32::from(JobStatus::Unsure));
+    let due = |_: &JobId| Known { owned: None, owner: None, prospect: Prospect::Due };
+    ask(&mut readers, at(900), 0, "");
+    assert!(readers.answer(at(901), due).is_empty(), "it was accepted after all");
+}
+
+/// Guards against an answer after the asker has given up and begun to read the store.
+#[test]
+fn a_question_about_an_unknown_job_is_answered_before_its_asker_gives_up() {
+    let mut readers = Readers::default();
+    let unknown = |_: &JobId| Known { owned: None, owner: None, prospect: Prospect::Unknown };
+    ask_for(&mut readers, at(0), 0, "a", 0);
+    let before = at(0) + (ANSWER_TIME - Duration::from_millis(100));
+    assert_eq!(readers.answer(before, unknown)[0].answer.status, i32::from(JobStatus::Unsure));
+}
