Do not run a job that ended while it was claimed

The job was accepted 0.2 s after an outage of the store and ended 0.13 s later.

Cause, by reading: an answer to a claim that is lost is read back, and a claim that was overwritten since still counts as made. If the index told of the job's end before, nobody remembered it, since the job did not run yet; it then ran until its first result could not be stored.

Change: the plan of claims remembers which claims are under way and forgets those whose job has ended or is not listed. One that is only newer than the listing is claimed again when the index tells of it.

Tests: a_job_that_ends_while_it_is_claimed_is_not_run (fails if a closing is not noted), a_claimed_job_that_is_newer_than_the_listing_is_taken_up_again.

--- a/crates/borageshed/src/job_work/claim_plan.rs
+++ b/crates/borageshed/src/job_work/claim_plan.rs
@@ -31,6 +31,8 @@
     handed: BTreeMap<JobId, Handed>,
     /// When to claim the jobs that nobody has claimed.
     claim_at: BTreeMap<JobId, Timestamp>,
+    /// The jobs whose claim is under way, as far as they have not ended meanwhile.
+    claiming: BTreeSet<JobId>,
     /// The jobs that this daemon runs.
     running: BTreeSet<JobId>,
 }
@@ -58,6 +60,7 @@
             claimed: BTreeMap::new(),
             handed: BTreeMap::new(),
             claim_at: BTreeMap::new(),
+            claiming: BTreeSet::new(),
             running: BTreeSet::new(),
         }
     }
@@ -97,6 +100,7 @@
                 self.claim_at.remove(&id);
                 self.handed.remove(&id);
                 self.seen.remove(&id);
+                self.claiming.remove(&id);
                 return if self.running.contains(&id) { vec![id] } else { Vec::new() };
             }
             IndexChange::Claimed(id, owner) => {
@@ -124,11 +128,20 @@
             let handed = self.handed.remove(&id);
             let seen = Sighting { at: now, is_fresh: false };
             let seen = self.seen.get(&id).copied().unwrap_or(seen);
+            self.claiming.insert(id.clone());
             jobs.push(Due { id, route, handed, seen });
         }
         jobs
     }
 
+    /// Notes that a claim is no longer under way; returns whether the job is to be run if it was made.
+    ///
+    /// The index may tell of a job's end before the answer to the claim is here, if that was lost and read back. A job that a
+    /// listing does not name may be newer than the listing, and is claimed again as soon as the index tells of it.
+    pub fn end_claim(&mut self, id: &JobId) -> bool {
+        self.claiming.remove(id)
+    }
+
     /// Notes that this daemon runs a job.
     pub fn start(&mut self, id: JobId) {
         self.running.insert(id);
@@ -178,6 +191,7 @@
             self.open.entry(id.clone()).or_insert_with(|| handed.open.clone());
         }
         self.claim_at.retain(|it, _| self.open.contains_key(it));
+        self.claiming.retain(|it| self.open.contains_key(it));
         self.seen.retain(|it, _| self.open.contains_key(it));
         for id in self.open.keys().cloned().collect::<Vec<_>>() {
             self.plan(now, id, runners);
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -186,7 +186,10 @@
                 given_up.into_iter().for_each(|it| self.drop_job(&it, "lease lost"));
             }
             Event::Claimed { id, lease, loaded } => self.on_claimed(id, lease, loaded),
-            Event::NotClaimed { id } => self.plan.retry(self.cx.clock.now(), &id),
+            Event::NotClaimed { id } => {
+                self.plan.end_claim(&id);
+                self.plan.retry(self.cx.clock.now(), &id);
+            }
             Event::ItemPlaced => self.waiting = self.waiting.saturating_sub(1),
             Event::ItemEnded { id, claim, index, ended } => {
                 self.on_item_ended(&id, claim, index, *ended)
@@ -276,8 +279,13 @@
     }
 
     fn on_claimed(&mut self, id: JobId, lease: LeaseId, loaded: Option<Box<JobRun>>) {
+        let is_wanted = self.plan.end_claim(&id);
         // Another daemon was quicker, or the job has ended.
         let Some(run) = loaded else { return };
+        if !is_wanted {
+            info!(self.cx.log, "job ended while it was claimed"; "job" => id.as_str());
+            return;
+        }
         if self.lease != Some(lease) || self.own.contains_key(&id) {
             return;
         }
--- a/crates/borageshed/tests/claim_plan.rs
+++ b/crates/borageshed/tests/claim_plan.rs
@@ -117,6 +117,45 @@
     assert_eq!(due(&mut plan, 1_000), [("job-1".to_owned(), false)]);
 }
 
+/// Guards against items that run for seconds after the end of their job was acknowledged, because the answer to the claim came
+/// later than the news of the end.
+#[test]
+fn a_job_that_ends_while_it_is_claimed_is_not_run() {
+    let runners = runners(45);
+    let mut plan = first_in_line("job-1", &runners);
+    plan.hand_over(at(0), handed("job-1"));
+    assert_eq!(due(&mut plan, 0), [("job-1".to_owned(), true)]);
+    plan.on_change(at(300), IndexChange::Closed(id("job-1")), &runners);
+    assert!(!plan.end_claim(&id("job-1")));
+
+    plan.hand_over(at(400), handed("job-2"));
+    assert_eq!(due(&mut plan, 400), [("job-2".to_owned(), true)]);
+    let listing = || IndexChange::Listed { open: BTreeMap::new(), claimed: BTreeMap::new() };
+    plan.on_change(at(500), listing(), &runners);
+    assert!(!plan.end_claim(&id("job-2")));
+
+    plan.hand_over(at(600), handed("job-3"));
+    assert_eq!(due(&mut plan, 600), [("job-3".to_owned(), true)]);
+    assert!(plan.end_claim(&id("job-3")), "nothing tells of its end");
+}
+
+/// Guards against the loss of a job that was claimed while an older listing was under way.
+#[test]
+fn a_claimed_job_that_is_newer_than_the_listing_is_taken_up_again() {
+    let runners = runners(45);
+    let mut plan = first_in_line("job-1", &runners);
+    let own = claim::first(&id("job-1"), &runners).expect("there are daemons").clone();
+    plan.hand_over(at(0), handed("job-1"));
+    assert_eq!(due(&mut plan, 0), [("job-1".to_owned(), true)]);
+    let listing = IndexChange::Listed { open: BTreeMap::new(), claimed: BTreeMap::new() };
+    plan.on_change(at(5), listing, &runners);
+    assert!(!plan.end_claim(&id("job-1")));
+    let (job_id, job) = open("job-1");
+    plan.on_change(at(10), IndexChange::Open(job_id.clone(), job), &runners);
+    plan.on_change(at(10), IndexChange::Claimed(job_id, own), &runners);
+    assert_eq!(due(&mut plan, 100), [("job-1".to_owned(), false)]);
+}
+
 /// Guards against claims that cost a call of each daemon, and against jobs that nobody runs after the loss of their owner.
 #[test]
 fn a_job_that_another_daemon_runs_is_claimed_only_once_that_claim_has_ended() {
