Look at targets by index in each tick, and at waits only if something waits

A tick looks at every target 50 times a second, copied all names first, looked each up by its hash twice, and worked out waits of queues that are empty.

Change: targets are visited by index; waits are worked out only if a request waits.

--- a/crates/policy/src/dispatch/upkeep.rs
+++ b/crates/policy/src/dispatch/upkeep.rs
@@ -44,20 +44,19 @@
         let own_domain = &self.settings.failure_domain;
         let peers = self.peers.values().filter(|it| it.failure_domain == *own_domain).count();
         let slow_above = pace::slow_above(&self.services[service]);
-        let names: Vec<_> = self.services[service].targets.keys().cloned().collect();
-        for name in names {
-            let target = &mut self.services[service].targets[&name];
+        // By index: a fleet has thousands of targets, which are looked at many times a second.
+        for i in 0..self.services[service].targets.len() {
+            let target = &mut self.services[service].targets[i];
             target.pace.judge(now, slow_above);
             target.refresh(&self.settings, now, peers as u32 + 1);
             target.health.tick(&self.settings, now, &mut self.rng);
             let health = target.health.state();
             if std::mem::replace(&mut target.reported_health, health) != health {
-                let in_flight = target.own.total();
+                let (in_flight, target) = (target.own.total(), target.info.name.clone());
                 let service = self.services[service].name.clone();
-                let target = name.clone();
                 self.actions.push(Action::HealthChanged { service, target, health, in_flight });
             }
-            self.send_wanted_probe(now, service, &name);
+            self.probe_if_wanted(now, service, i);
         }
     }
 
@@ -112,8 +111,11 @@
 
     fn late_queued(&self, now: Timestamp, service: usize) -> Vec<(u64, Reason, Duration)> {
         let state = &self.services[service];
-        let waits = state.wait_model(&self.settings, now);
         let mut late = Vec::new();
+        if state.online.queue.len() + state.batch.queue.len() == 0 {
+            return late;
+        }
+        let waits = state.wait_model(&self.settings, now);
         for class in [Class::Online, Class::Batch] {
             for (entry, ahead) in state.lane_ref(class).queue.waiting() {
                 let wait = match class {
@@ -135,6 +137,9 @@
     /// Estimates the suspects' wait by how many targets can run one suspect each.
     fn late_suspects(&self, now: Timestamp, service: usize) -> Vec<(u64, Reason, Duration)> {
         let state = &self.services[service];
+        if state.suspects.is_empty() {
+            return Vec::new();
+        }
         let usable = state.targets.values().filter(|it| it.takes_work()).count().max(1);
         let until_any = state.wait_model(&self.settings, now).behind(0);
         let mut late = Vec::new();
@@ -156,8 +161,14 @@
     }
 
     pub(super) fn send_wanted_probe(&mut self, now: Timestamp, service: usize, target: &Name) {
+        if let Some(target) = self.services[service].targets.get_index_of(target) {
+            self.probe_if_wanted(now, service, target);
+        }
+    }
+
+    fn probe_if_wanted(&mut self, now: Timestamp, service: usize, target: usize) {
         let service = &mut self.services[service];
-        let Some(target) = service.targets.get_mut(target) else { return };
+        let target = &mut service.targets[target];
         if target.listed && target.health.take_probe(now) {
             let (service, target) = (service.name.clone(), target.info.name.clone());
             self.actions.push(Action::Probe { service, target });
