--- a/crates/borageshed/tests/claim_plan.rs
+++ b/crates/borageshed/tests/claim_plan.rs
@@ -1,16 +1,19 @@
 //! When a daemon claims the jobs that it hears of.
 
+mod job_fixture;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use borageshed::job_work::{claim_plan::ClaimPlan, claiming::Handed, index::IndexChange};
-use fleet::{BatchTerms, Kind, QualifiedName};
-use jobs::{Item, JobId, OpenJob, Submission, claim, model::Bytes};
+use jobs::{JobId, OpenJob, claim};
 use peer::JobAccepted;
 use stdx::{Name, Timestamp};
 
+use job_fixture::submission;
+
 /// How long the last daemon in line may leave a job that nobody claims.
 const MAX_DELAY: Duration = Duration::from_secs(6);
 
@@ -27,28 +30,7 @@
 }
 
 fn handed(job: &str) -> Handed {
-    let item = Item {
-        id: "item".into(),
-        path: "/jobs/x".into(),
-        headers: BTreeMap::new(),
-        body: Bytes(b"body".to_vec()),
-        tokens: 100,
-    };
-    let submission = Submission {
-        id: id(job),
-        account: QualifiedName::new("operator", Kind::Account, "acme"),
-        service: QualifiedName::new("operator", Kind::Service, "engine"),
-        route: "route".into(),
-        host: "shop.example".into(),
-        items: vec![item],
-        terms: BatchTerms {
-            due: Duration::from_secs(18),
-            give_up_after: Duration::from_secs(60),
-            max_waiting_tokens: None,
-        },
-        max_attempts: 2,
-        received_ms: 0,
-    };
+    let submission = submission(id(job), &["item"]);
     let transaction = submission.transaction().expect("valid");
     let value_of = |key: String| {
         let write = transaction.writes.iter().find(|it| *it.key == *key);
--- a/crates/borageshed/tests/readers.rs
+++ b/crates/borageshed/tests/readers.rs
@@ -1,41 +1,23 @@
 //! What the owner of a job tells those that serve its callers.
 
-use std::{collections::BTreeMap, time::Duration};
+mod job_fixture;
+
+use std::time::Duration;
 
 use borageshed::job_work::readers::{ANSWER_TIME, Known, Prospect, Question, Readers, Reply};
-use fleet::{BatchTerms, Kind, QualifiedName};
-use jobs::{Item, ItemEnd, JobId, JobRecord, JobRun, JobTimes, Sighting, Submission, model::Bytes};
+use jobs::{ItemEnd, JobId, JobRecord, JobRun, JobTimes, Sighting, Submission};
 use kv_store::Revision;
 use peer::{JobRequest, JobStatus};
 use stdx::{Name, Timestamp};
 
+use job_fixture::submission;
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
 
 fn run(items: &[&str]) -> JobRun {
-    let item = |id: &&str| Item {
-        id: Name::new(id),
-        path: Name::new("/jobs/x"),
-        headers: BTreeMap::new(),
-        body: Bytes(format!("body of {id}").into_bytes()),
-        tokens: 100,
-    };
-    let submission = Submission {
-        id: JobId::parse("job-1").expect("valid"),
-        account: QualifiedName::new("operator", Kind::Account, "acme"),
-        service: QualifiedName::new("operator", Kind::Service, "engine"),
-        route: Name::new("route"),
-        host: Name::new("shop.example"),
-        items: items.iter().map(item).collect(),
-        terms: BatchTerms {
-            due: Duration::from_secs(18),
-            give_up_after: Duration::from_secs(60),
-            max_waiting_tokens: None,
-        },
-        max_attempts: 2,
-        received_ms: 0,
-    };
+    let submission = submission(JobId::parse("job-1").expect("valid"), items);
     let transaction = submission.transaction().expect("valid");
     let record: JobRecord = serde_json::from_slice(&transaction.writes[0].value).expect("a record");
     let times = JobTimes::of(&record, Sighting { at: at(0), is_fresh: true }, at(0), 0);
