Take over the jobs of the previous incarnation at once after a restart

Cause: a restarted daemon found its jobs claimed under its own name and the lease of its previous incarnation, and waited until that lease lapsed. Change: a claim under the own name and another lease is taken over in the transaction that rewrites the record, so that transactions of the previous incarnation still fail; such a job is claimed without delay. A claim of another daemon is left alone as before.

--- a/crates/borageshed/src/job_work/claim_plan.rs
+++ b/crates/borageshed/src/job_work/claim_plan.rs
@@ -208,8 +208,12 @@
             && !self.running.contains(&id)
             && !self.claim_at.contains_key(&id);
         if is_free {
-            let delay = claim::delay(&id, &self.own_name, runners);
-            self.claim_at.insert(id, now + HAND_OVER_GRACE + delay);
+            // Other daemons do not claim a job while it is listed under this daemon's name.
+            let delay = match self.claimed.contains_key(&id) {
+                true => Duration::ZERO,
+                false => HAND_OVER_GRACE + claim::delay(&id, &self.own_name, runners),
+            };
+            self.claim_at.insert(id, now + delay);
         }
     }
 }
--- a/crates/borageshed/src/job_work/claiming.rs
+++ b/crates/borageshed/src/job_work/claiming.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use jobs::{Discovery, Item, JobId, JobRecord, JobRun, JobTimes, OpenJob, claim, model};
+use jobs::{
+    Discovery, Item, JobId, JobRecord, JobRun, JobTimes, OpenJob,
+    claim::{self, ClaimState},
+    model,
+};
 use kv_store::{CommitOutcome, Entry, LeaseId, Revision};
 use peer::JobAccepted;
 use stdx::Name;
@@ -83,40 +87,42 @@
     route: Name,
     discovery: Discovery,
 ) -> kv_store::Result<Option<JobRun>> {
+    let own = &cx.settings.instance;
     let mut known = cx.store.get(&id.record_key()).await?;
+    let mut claimed_at = Revision(0);
     for _ in 0..MAX_CLAIM_ATTEMPTS {
         let Some(entry) = known else { return Ok(None) };
         let record = decode_record(&entry)?;
         if record.is_ended() {
             return Ok(None);
         }
-        let own = &cx.settings.instance;
-        let takeover = claim::takeover(id, own, lease, entry.mod_revision, &entry.value);
-        match cx.store.commit(&takeover).await? {
+        let takeover =
+            claim::takeover(id, own, lease, claimed_at, entry.mod_revision, &entry.value);
+        let entries = match cx.store.commit(&takeover).await? {
             CommitOutcome::Won(revision) => {
                 return load(cx, id, record, revision, route, discovery).await.map(Some);
             }
             CommitOutcome::Unknown => return Err(unconfirmed_claim()),
-            CommitOutcome::Lost(entries) => {
-                let is_claimed = entries.iter().any(|it| *it.key == *id.claim_key());
-                let is_own = entries.iter().any(|it| is_own_claim(cx, it, lease));
-                known = entries.into_iter().find(|it| *it.key == *id.record_key());
-                match known {
-                    // An earlier call stored the claim but could not read the job.
-                    Some(ref entry) if is_own => {
-                        let record = decode_record(entry)?;
-                        if record.is_ended() {
-                            return Ok(None);
-                        }
-                        let revision = entry.mod_revision;
-                        return load(cx, id, record, revision, route, discovery).await.map(Some);
-                    }
-                    _ if is_claimed => return Ok(None),
-                    // The record has changed since it was read.
-                    _ => {}
+            CommitOutcome::Lost(entries) => entries,
+        };
+        let stored_claim = entries.iter().find(|it| *it.key == *id.claim_key());
+        let state = claim::claim_state(stored_claim, own, lease);
+        known = entries.into_iter().find(|it| *it.key == *id.record_key());
+        claimed_at = match (state, &known) {
+            // An earlier call stored the claim but could not read the job.
+            (ClaimState::Held, Some(entry)) => {
+                let record = decode_record(entry)?;
+                if record.is_ended() {
+                    return Ok(None);
                 }
+                let revision = entry.mod_revision;
+                return load(cx, id, record, revision, route, discovery).await.map(Some);
             }
-        }
+            (ClaimState::Held | ClaimState::Foreign, _) => return Ok(None),
+            (ClaimState::Former(revision), _) => revision,
+            // The record has changed since it was read.
+            (ClaimState::Free, _) => Revision(0),
+        };
     }
     Err(unconfirmed_claim())
 }
@@ -133,10 +139,6 @@
     kv_store::Error::AnswerLost("the claim is not confirmed".to_owned())
 }
 
-fn is_own_claim(cx: &Shared, entry: &Entry, lease: LeaseId) -> bool {
-    entry.lease == Some(lease) && entry.value == cx.settings.instance.as_bytes()
-}
-
 fn job_times(cx: &Shared, record: &JobRecord, discovery: Discovery) -> JobTimes {
     JobTimes::of(record, discovery, cx.clock.now(), clock::unix_millis())
 }
--- a/crates/borageshed/tests/claim_plan.rs
+++ b/crates/borageshed/tests/claim_plan.rs
@@ -152,6 +152,20 @@
     assert_eq!(due(&mut plan, 60_100), [("job-1".to_owned(), false)]);
 }
 
+/// Guards against a restarted daemon that leaves the jobs of its previous incarnation waiting until that lease lapses.
+#[test]
+fn a_job_that_is_still_claimed_under_the_own_name_is_claimed_at_once() {
+    let runners = runners(45);
+    let mut plan = ClaimPlan::new("worker-0".into());
+    let (own, foreign) = (open("job-1"), open("job-2"));
+    let claimed = [(own.0.clone(), "worker-0".into()), (foreign.0.clone(), "worker-1".into())];
+    let listing =
+        IndexChange::Listed { open: [own, foreign].into(), claimed: claimed.into_iter().collect() };
+    plan.on_change(at(0), listing, &runners);
+    assert_eq!(due(&mut plan, 0), [("job-1".to_owned(), false)]);
+    assert_eq!(due(&mut plan, 60_000), []);
+}
+
 /// Guards against a job that waits for half a minute because many daemons run items and those ahead in the ranking are down.
 #[test]
 fn the_last_of_many_daemons_claims_a_job_within_seconds() {
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -16,7 +16,6 @@
     http::Call,
     operator::{self, DRAFTS, HOST, LOOKUPS, STREAMS},
     platform::{Faults, READ_KEY_CALL},
-    processes::{Process, binary},
     target::{Behaviour, STAMP_HEADER, Target},
 };
 
@@ -392,10 +391,26 @@
     wait_until("items run", async || target.requests().len() == 2).await?;
     site.worker.crash();
     target.set_behaviour(stream(40, 1));
-    let file = site.folder.path().join("worker.jsonc");
-    let args = ["--settings".to_owned(), file.display().to_string()];
-    let log = site.folder.path().join("worker-2.log");
-    site.worker = Process::start("worker", &binary("borageshed")?, &args, &log)?;
+    site.worker = site.restart_worker()?;
+    site.wait_for_results("job-1", 2).await
+}
+
+// Guards against the jobs of a restarted daemon that wait until the lease of its previous incarnation lapses: after all daemons
+// have lost power, nobody runs them meanwhile. The claim is taken over, so it is never removed.
+#[async_std::test]
+async fn a_restarted_daemon_runs_its_jobs_again_before_its_former_lease_lapses() -> io::Result<()> {
+    let target = Target::start(stream(40, 50)).await?;
+    let mut site = Site::start(&[("t-1", &target)]).await?;
+    assert_eq!(site.send(submission("job-1", &["i-1", "i-2"])).await.status, 202);
+    wait_until("items run", async || target.requests().len() == 2).await?;
+    let before = site.platform.with_kv(|kv| kv.revision());
+    site.worker.crash();
+    target.set_behaviour(stream(40, 1));
+    site.worker = site.restart_worker()?;
+    wait_until("the items run again", async || target.requests().len() == 4).await?;
+    let changes = site.platform.with_kv(|kv| kv.changes("work/index/claim/", before));
+    let changes = changes.expect("the history is complete").events;
+    assert!(!changes[0].removed, "{changes:?}");
     site.wait_for_results("job-1", 2).await
 }
 
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -65,6 +65,11 @@
         start(&self.folder, name, &settings(&self.platform, self.ip, name, port))
     }
 
+    /// Starts the worker daemon again after a crash.
+    pub fn restart_worker(&self) -> io::Result<Process> {
+        start_process(&self.folder, "worker", "worker-2.log")
+    }
+
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::from((self.ip, 8_000))
     }
@@ -100,10 +105,14 @@
 
 fn start(folder: &TempDir, name: &str, settings: &Value) -> io::Result<Process> {
     let file = folder.path().join(format!("{name}.jsonc"));
-    fs::write(&file, settings.to_string())?;
+    fs::write(file, settings.to_string())?;
+    start_process(folder, name, &format!("{name}.log"))
+}
+
+fn start_process(folder: &TempDir, name: &str, log: &str) -> io::Result<Process> {
+    let file = folder.path().join(format!("{name}.jsonc"));
     let args = ["--settings".to_owned(), file.display().to_string()];
-    let log = folder.path().join(format!("{name}.log"));
-    Process::start(name, &binary("borageshed")?, &args, &log)
+    Process::start(name, &binary("borageshed")?, &args, &folder.path().join(log))
 }
 
 pub async fn wait_until(what: &str, is_so: impl AsyncFn() -> bool) -> io::Result<()> {
