Store the partial outputs of running batch items

Cause: an item holds its slot for 4.4 s at the median, and all output of running items was lost when their daemon lost power, was killed or was cut off long enough to lose its claims. Change: each transaction that stores results also stores the output of the job's items in progress, and a transaction of its own does after 1.5 s without results. It requires the revision of the record, so a former owner cannot write it. The next owner continues each item after its last stored event. OwnJob moves to a file of its own and decides which transaction is due.

--- a/crates/borageshed/src/job_work/claiming.rs
+++ b/crates/borageshed/src/job_work/claiming.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use jobs::{
-    Discovery, Item, JobId, JobRecord, JobRun, JobTimes, OpenJob,
+    Checkpoint, Discovery, Item, JobId, JobRecord, JobRun, JobTimes, OpenJob,
     claim::{self, ClaimState},
     model,
 };
 use kv_store::{CommitOutcome, Entry, LeaseId, Revision};
 use peer::JobAccepted;
+use slog::warn;
 use stdx::Name;
 
 use crate::{clock, shared::Shared};
@@ -52,6 +53,15 @@
     }
 }
 
+/// A job that this daemon has just claimed.
+#[derive(Debug)]
+pub struct ClaimedJob {
+    /// The job, as it is stored.
+    pub run: JobRun,
+    /// The stored partial outputs.
+    pub checkpoint: Checkpoint,
+}
+
 /// Claims a job that was handed over; if its record has changed since, reads the job from the store.
 ///
 /// # Errors
@@ -62,13 +72,14 @@
     lease: LeaseId,
     handed_over: HandedOverJob,
     discovery: Discovery,
-) -> kv_store::Result<Option<JobRun>> {
+) -> kv_store::Result<Option<ClaimedJob>> {
     let HandedOverJob { id, open, record, revision, items } = handed_over;
     let transaction = claim::first_claim(&id, &cx.settings.instance, lease, revision);
     match cx.store.commit(&transaction).await? {
         CommitOutcome::Won(_) => {
             let times = job_times(cx, &record, discovery);
-            Ok(Some(JobRun::new(id, record, revision, open.route, items, Vec::new(), times)))
+            let run = JobRun::new(id, record, revision, open.route, items, Vec::new(), times);
+            Ok(Some(ClaimedJob { run, checkpoint: Checkpoint::default() }))
         }
         CommitOutcome::Lost(_) => claim(cx, &id, lease, open.route, discovery).await,
         CommitOutcome::Unknown => Err(unconfirmed_claim()),
@@ -86,7 +97,7 @@
     lease: LeaseId,
     route: Name,
     discovery: Discovery,
-) -> kv_store::Result<Option<JobRun>> {
+) -> kv_store::Result<Option<ClaimedJob>> {
     let own = &cx.settings.instance;
     let mut known = cx.store.get(&id.record_key()).await?;
     let mut claimed_at = Revision(0);
@@ -143,7 +154,7 @@
     JobTimes::of(record, discovery, cx.clock.now(), clock::unix_millis())
 }
 
-/// Reads the items and stored results of a claimed job.
+/// Reads the items, stored results and partial outputs of a claimed job.
 async fn load(
     cx: &Shared,
     id: &JobId,
@@ -151,7 +162,7 @@
     revision: Revision,
     route: Name,
     discovery: Discovery,
-) -> kv_store::Result<JobRun> {
+) -> kv_store::Result<ClaimedJob> {
     let mut items = Vec::with_capacity(record.total);
     for part in cx.store.range(&id.parts_prefix()).await?.entries {
         items.extend(model::items_of_part(&part.value).map_err(|e| decode_error(&part.key, &e))?);
@@ -161,7 +172,19 @@
         false => stored_results(cx, id, record.listed.len()).await?,
     };
     let times = job_times(cx, &record, discovery);
-    Ok(JobRun::new(id.clone(), record, revision, route, items, stored, times))
+    let run = JobRun::new(id.clone(), record, revision, route, items, stored, times);
+    Ok(ClaimedJob { run, checkpoint: read_checkpoint(cx, id).await? })
+}
+
+/// Reads the stored partial outputs. Without them, items run from the start, so a value that cannot be decoded does no harm.
+async fn read_checkpoint(cx: &Shared, id: &JobId) -> kv_store::Result<Checkpoint> {
+    let Some(entry) = cx.store.get(&id.checkpoint_key()).await? else {
+        return Ok(Checkpoint::default());
+    };
+    Ok(Checkpoint::decode(&entry.value).unwrap_or_else(|e| {
+        warn!(cx.log, "partial outputs cannot be decoded"; "job" => id.as_str(), "error" => %e);
+        Checkpoint::default()
+    }))
 }
 
 /// Reads the first `count` stored results, which are those that the record lists.
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -1,6 +1,10 @@
 //! Runs one item through the same dispatcher as online requests.
 
-use std::{io, time::Duration};
+use std::{
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use async_std::{future::timeout, io::ReadExt as _};
 use futures::future::{Either, select};
@@ -46,6 +50,22 @@
     Interrupted(Option<Directive>),
 }
 
+/// The output of an item while it runs; the worker reads it to store partial outputs.
+#[derive(Debug, Clone, Default)]
+pub struct SharedOutput(Arc<Mutex<EventData>>);
+
+impl SharedOutput {
+    /// Shares an output.
+    pub fn new(output: EventData) -> Self {
+        Self(Arc::new(Mutex::new(output)))
+    }
+
+    /// Locks the output.
+    pub fn lock(&self) -> MutexGuard<'_, EventData> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// How a run of an item ended, with the state that the next run continues from.
 #[derive(Debug)]
 pub struct RunResult {
@@ -74,7 +94,7 @@
     cx: &Shared,
     call: &Call,
     terms: DispatchTerms,
-    mut output: EventData,
+    output: SharedOutput,
     mut on_placed: impl FnMut(),
 ) -> RunResult {
     let mut placed_at = None;
@@ -83,7 +103,7 @@
         on_placed();
     };
     let (end, retry_delay) =
-        match run_admitted(cx, call, terms, &mut output, &mut record_placement).await {
+        match run_admitted(cx, call, terms, &output, &mut record_placement).await {
             AttemptOutcome::Ended(end) => (end, Duration::ZERO),
             AttemptOutcome::AwaitDirective(_) | AttemptOutcome::Yielded => {
                 (ItemEnd::Interrupted, Duration::ZERO)
@@ -93,6 +113,7 @@
             }
         };
     let ran_for = placed_at.map_or(Duration::ZERO, |it| cx.clock.now().since(it));
+    let output = std::mem::take(&mut *output.lock());
     RunResult { end, output, ran_for, retry_delay }
 }
 
@@ -100,7 +121,7 @@
     cx: &Shared,
     call: &Call,
     terms: DispatchTerms,
-    output: &mut EventData,
+    output: &SharedOutput,
     on_placed: &mut impl FnMut(),
 ) -> AttemptOutcome {
     let now = cx.clock.now();
@@ -145,10 +166,10 @@
     call: &Call,
     admission: Admission,
     target: &Name,
-    output: &mut EventData,
+    output: &SharedOutput,
 ) -> AttemptOutcome {
     let address = cx.directory.address(&call.service, target);
-    let last_event = output.last_id();
+    let last_event = output.lock().last_id();
     let req = address.and_then(|it| protocol::request(cx, call, it, target, last_event));
     let (Some(address), Some(req)) = (address, req) else {
         admission.failed_before_send();
@@ -191,27 +212,34 @@
         ReadOutcome::Whole => {
             attempt::observe_request(cx, call, started);
             debug!(cx.log, "item completed"; "request" => &call.request_id, "target" => %target);
+            let output = output.lock();
             admission.completed(Some(output.event_count()));
             AttemptOutcome::Ended(ItemEnd::Completed { text: output.text().to_owned() })
         }
         ReadOutcome::Broken(e) => {
-            match StreamError::is_in(&e) {
-                // A stream without an end is a fault of the target, so none of its output is kept.
-                true => *output = EventData::default(),
-                false => output.discard_partial(),
-            }
+            let last_event = {
+                let mut output = output.lock();
+                match StreamError::is_in(&e) {
+                    // A stream without an end is a fault of the target, so none of its output is kept.
+                    true => *output = EventData::default(),
+                    false => output.discard_partial(),
+                }
+                output.last_id()
+            };
             let cause = attempt::diagnose_failure(cx, address, Failure::from_io(&e)).await;
             info!(
                 cx.log, "item stream broke";
-                "request" => &call.request_id, "target" => %target, "last_event" => output.last_id(),
+                "request" => &call.request_id, "target" => %target, "last_event" => last_event,
                 "cause" => ?cause, "error" => %e
             );
             admission.failed_after_send(cause);
             AttemptOutcome::AwaitDirective(admission)
         }
         ReadOutcome::Interrupted(directive) => {
+            let mut output = output.lock();
             output.discard_partial();
             debug!(cx.log, "item interrupted"; "request" => &call.request_id, "target" => %target, "last_event" => output.last_id(), "directive" => ?directive);
+            drop(output);
             on_interrupted(admission, directive)
         }
     }
@@ -229,11 +257,11 @@
     target: &Name,
     mut res: Response,
     admission: &Admission,
-    output: &mut EventData,
+    output: &SharedOutput,
 ) -> ReadOutcome {
     let mut buf = vec![0; BUFFER_BYTES];
     let mut directives = Box::pin(admission.next());
-    let (mut events, mut last_event_at) = (output.event_count(), cx.clock.now());
+    let (mut events, mut last_event_at) = (output.lock().event_count(), cx.clock.now());
     let mut meter = EventGapMeter::default();
     loop {
         let left = EVENT_TIMEOUT.saturating_sub(cx.clock.now().since(last_event_at));
@@ -252,7 +280,7 @@
         match piece {
             Ok(Ok(0)) => return ReadOutcome::Whole,
             Ok(Ok(n)) => {
-                if let Err(e) = output.push(&buf[..n]) {
+                if let Err(e) = output.lock().push(&buf[..n]) {
                     return ReadOutcome::Broken(e.into());
                 }
             }
@@ -260,8 +288,9 @@
             // The next iteration returns the timeout.
             Err(_) => {}
         }
-        if output.event_count() > events {
-            (events, last_event_at) = (output.event_count(), cx.clock.now());
+        let event_count = output.lock().event_count();
+        if event_count > events {
+            (events, last_event_at) = (event_count, cx.clock.now());
             protocol::report_event_gap(cx, call, target, &mut meter, events);
         }
     }
--- a/crates/borageshed/src/job_work/mod.rs
+++ b/crates/borageshed/src/job_work/mod.rs
@@ -7,6 +7,7 @@
 //! - [`call`]: builds the request that runs an item.
 //! - [`item`]: runs one item through the same dispatcher as online requests.
 //! - [`lease`]: keeps the lease under which jobs are claimed.
+//! - `own_job`: a job that this daemon runs, and the transactions that store its state.
 //! - [`readers`]: answers the questions of other daemons about the jobs of this daemon.
 
 pub mod call;
@@ -15,6 +16,7 @@
 pub mod index;
 pub mod item;
 pub mod lease;
+mod own_job;
 pub mod readers;
 pub mod worker;
 
--- /dev/null
+++ b/crates/borageshed/src/job_work/own_job.rs
@@ -0,0 +1,121 @@
+//! A job that this daemon runs: its items in progress and the transactions that store its state.
+
+use std::{collections::HashMap, time::Duration};
+
+use futures::future::AbortHandle;
+use jobs::{Checkpoint, JobRun, checkpoint::CheckpointTimer, order::Candidate};
+use kv_store::Transaction;
+use stdx::Timestamp;
+
+use super::item::SharedOutput;
+use crate::online::event_data::EventData;
+
+/// The shortest time between two transactions of a job, unless all its results are there. Each transaction costs a call of the
+/// store and makes waiting callers ask again, while results are only due seconds later.
+const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(400);
+/// The delay before results are stored again after a failure.
+const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// A job that this daemon has claimed, with its items in progress. Dropping it stops them.
+pub(super) struct OwnJob {
+    /// The claim under which the job runs.
+    pub(super) claim: u64,
+    pub(super) run: JobRun,
+    /// The items that run or wait in the dispatcher, by their index.
+    pub(super) items: HashMap<usize, RunningItem>,
+    /// The state of items that were interrupted and will be continued, by their index.
+    pub(super) interrupted: HashMap<usize, InterruptedItem>,
+    commit_after: Timestamp,
+    /// When a failed transaction may be repeated.
+    retry_after: Timestamp,
+    checkpoints: CheckpointTimer,
+}
+
+/// An item that runs or waits in the dispatcher.
+pub(super) struct RunningItem {
+    pub(super) handle: AbortHandle,
+    pub(super) output: SharedOutput,
+}
+
+/// An item that waits for its next run.
+#[derive(Default)]
+pub(super) struct InterruptedItem {
+    pub(super) output: EventData,
+    pub(super) ran_for: Duration,
+    pub(super) retry_at: Timestamp,
+}
+
+impl OwnJob {
+    /// Creates a job whose items continue after the outputs of a checkpoint.
+    pub(super) fn new(claim: u64, run: JobRun, checkpoint: Checkpoint, now: Timestamp) -> Self {
+        let waiting: Vec<usize> = run.waiting().collect();
+        let resumed = checkpoint.items.into_iter().filter(|(index, _)| waiting.contains(index));
+        let interrupted = resumed
+            .map(|(index, it)| {
+                (index, InterruptedItem { output: it.into(), ..InterruptedItem::default() })
+            })
+            .collect();
+        Self {
+            claim,
+            run,
+            items: HashMap::new(),
+            interrupted,
+            commit_after: now,
+            retry_after: now,
+            checkpoints: CheckpointTimer::new(now),
+        }
+    }
+
+    /// Returns a waiting item as a candidate for the next run.
+    pub(super) fn candidate(&self, index: usize) -> Candidate {
+        Candidate {
+            due_at: self.run.times().due_at,
+            tokens: self.run.item(index).tokens,
+            events: self.interrupted.get(&index).map_or(0, |it| it.output.event_count()),
+        }
+    }
+
+    /// Returns the transaction that is due, if none is in flight: one that stores results and partial outputs, or one that
+    /// stores only partial outputs.
+    pub(super) fn next_transaction(&mut self, now: Timestamp) -> Option<Transaction> {
+        if self.run.is_storing() || now < self.retry_after {
+            return None;
+        }
+        let may_store_results = self.run.has_unstored_results()
+            && (self.run.has_all_results() || self.commit_after <= now);
+        if !may_store_results && !self.checkpoints.is_due(now) {
+            return None;
+        }
+        let checkpoint = self.checkpoint();
+        self.checkpoints.restart(now);
+        if !may_store_results {
+            return self.run.store_checkpoint(&checkpoint);
+        }
+        self.commit_after = now + MIN_COMMIT_INTERVAL;
+        self.run.commit(now, &checkpoint)
+    }
+
+    /// Records that the transaction in flight failed; it is repeated after a delay.
+    pub(super) fn on_commit_failed(&mut self, now: Timestamp) {
+        self.run.on_not_committed();
+        self.retry_after = now + COMMIT_RETRY_DELAY;
+    }
+
+    fn checkpoint(&self) -> Checkpoint {
+        let running =
+            self.items.iter().map(|(index, it)| (*index, it.output.lock().partial_output()));
+        let interrupted = self.interrupted.iter();
+        let interrupted = interrupted.map(|(index, it)| (*index, it.output.partial_output()));
+        // The state of an item that runs again after an interruption is in `items`.
+        let interrupted = interrupted.filter(|(index, _)| !self.items.contains_key(index));
+        Checkpoint::collect(
+            running.chain(interrupted).filter_map(|(index, it)| it.map(|it| (index, it))),
+        )
+    }
+}
+
+impl Drop for OwnJob {
+    fn drop(&mut self) {
+        self.items.values().for_each(|it| it.handle.abort());
+    }
+}
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -3,11 +3,8 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use async_std::task;
-use futures::future::{AbortHandle, Either, abortable, select};
-use jobs::{
-    ItemEnd, JobId, JobRun,
-    order::{Candidate, RunTimeEstimator},
-};
+use futures::future::{Either, abortable, select};
+use jobs::{ItemEnd, JobId, order::RunTimeEstimator};
 use kv_store::{CommitOutcome, LeaseId};
 use slog::{debug, info, warn};
 use stdx::Timestamp;
@@ -15,13 +12,14 @@
 use super::{
     call::item_call,
     claim_plan::{ClaimPlan, DueClaim},
-    claiming::{self, HandedOverJob},
+    claiming::{self, ClaimedJob, HandedOverJob},
     index::{self, IndexChange},
-    item::{self, DispatchTerms},
+    item::{self, DispatchTerms, SharedOutput},
     lease::LeaseEvent,
+    own_job::{InterruptedItem, OwnJob, RunningItem},
     readers::{ClaimProspect, LocalJobState, Question, Readers},
 };
-use crate::{online::event_data::EventData, peers::Peers, shared::Shared};
+use crate::{peers::Peers, shared::Shared};
 
 /// How often due claims, uncommitted results and late items are checked if no event occurs.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -30,11 +28,6 @@
 const MAX_WAITING_ITEMS: usize = 4;
 /// The most items that run or wait in the dispatcher at once, which bounds the memory for their output.
 const MAX_STARTED_ITEMS: usize = 96;
-/// The shortest time between two transactions of a job, unless all its results are there. Each transaction costs a call of the
-/// store and makes waiting callers ask again, while results are only due seconds later.
-const MIN_COMMIT_INTERVAL: Duration = Duration::from_millis(400);
-/// The delay before results are stored again after a failure.
-const COMMIT_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// How long an item leaves the large reserve of slots free if all waiting items have slack.
 const LARGE_RESERVE_TIME: Duration = Duration::from_secs(2);
 /// The least number of concurrent items that is assumed when the worker estimates whether all waiting items have slack.
@@ -43,7 +36,7 @@
 enum Event {
     Index(IndexChange),
     Lease(LeaseEvent),
-    Claimed { id: JobId, lease: LeaseId, loaded: Option<Box<JobRun>> },
+    Claimed { id: JobId, lease: LeaseId, claimed: Option<Box<ClaimedJob>> },
     NotClaimed { id: JobId },
     ItemPlaced,
     ItemEnded { id: JobId, claim: u64, index: usize, ended: Box<item::RunResult> },
@@ -71,39 +64,6 @@
     has_slack: bool,
 }
 
-struct OwnJob {
-    claim: u64,
-    run: JobRun,
-    items: HashMap<usize, AbortHandle>,
-    /// The state of items that were interrupted and will be continued, by their index.
-    interrupted: HashMap<usize, InterruptedItem>,
-    commit_after: Timestamp,
-    /// When a failed transaction may be repeated.
-    retry_after: Timestamp,
-}
-
-impl OwnJob {
-    fn may_commit(&self, now: Timestamp) -> bool {
-        match self.run.has_all_results() {
-            true => self.retry_after <= now,
-            false => self.commit_after.max(self.retry_after) <= now,
-        }
-    }
-}
-
-#[derive(Default)]
-struct InterruptedItem {
-    output: EventData,
-    ran_for: Duration,
-    retry_at: Timestamp,
-}
-
-impl Drop for OwnJob {
-    fn drop(&mut self) {
-        self.items.values().for_each(AbortHandle::abort);
-    }
-}
-
 /// Runs jobs until the daemon drains or retires; then revokes the lease, which ends the claims.
 pub async fn run(cx: Arc<Shared>, peers: Peers, leases: async_channel::Receiver<LeaseEvent>) {
     let (events, inbox) = async_channel::unbounded();
@@ -186,7 +146,7 @@
                 let given_up: Vec<JobId> = self.own_jobs.keys().cloned().collect();
                 given_up.into_iter().for_each(|it| self.drop_job(&it, "lease lost"));
             }
-            Event::Claimed { id, lease, loaded } => self.on_claimed(id, lease, loaded),
+            Event::Claimed { id, lease, claimed } => self.on_claimed(id, lease, claimed),
             Event::NotClaimed { id } => {
                 self.plan.finish_claim_call(&id);
                 self.plan.retry(self.cx.clock.now(), &id);
@@ -208,7 +168,7 @@
     fn waiting_items_have_slack(&self, now: Timestamp) -> bool {
         let waiting =
             self.own_jobs.values().flat_map(|job| job.run.waiting().map(move |it| (job, it)));
-        let mut items: Vec<_> = waiting.map(|(job, index)| candidate(job, index)).collect();
+        let mut items: Vec<_> = waiting.map(|(job, index)| job.candidate(index)).collect();
         items.sort_unstable_by_key(|it| it.due_at);
         let slots = self.started_items().saturating_sub(self.waiting_items).max(MIN_ASSUMED_SLOTS);
         self.run_times.has_slack(items, slots, now)
@@ -272,7 +232,7 @@
                     None => claiming::claim(&cx, &id, lease, route, discovery).await,
                 };
                 let event = match claimed {
-                    Ok(loaded) => Event::Claimed { id, lease, loaded: loaded.map(Box::new) },
+                    Ok(claimed) => Event::Claimed { id, lease, claimed: claimed.map(Box::new) },
                     Err(e) => {
                         debug!(cx.log, "job not claimed"; "job" => id.as_str(), "error" => %e);
                         Event::NotClaimed { id }
@@ -284,10 +244,10 @@
         }
     }
 
-    fn on_claimed(&mut self, id: JobId, lease: LeaseId, loaded: Option<Box<JobRun>>) {
+    fn on_claimed(&mut self, id: JobId, lease: LeaseId, claimed: Option<Box<ClaimedJob>>) {
         let is_wanted = self.plan.finish_claim_call(&id);
-        // Without a run, another daemon claimed the job first or the job has ended.
-        let Some(run) = loaded else { return };
+        // If nothing was claimed, another daemon claimed the job first or the job has ended.
+        let Some(claimed) = claimed else { return };
         if !is_wanted {
             info!(self.cx.log, "job ended while it was claimed"; "job" => id.as_str());
             return;
@@ -296,19 +256,13 @@
             return;
         }
         self.claim_count += 1;
+        let ClaimedJob { run, checkpoint } = *claimed;
         info!(
             self.cx.log, "job claimed";
-            "job" => id.as_str(), "items" => run.record().total, "listed" => run.record().listed.len()
+            "job" => id.as_str(), "items" => run.record().total, "listed" => run.record().listed.len(),
+            "continued" => checkpoint.items.len()
         );
-        let now = self.cx.clock.now();
-        let job = OwnJob {
-            claim: self.claim_count,
-            run: *run,
-            items: HashMap::new(),
-            interrupted: HashMap::new(),
-            commit_after: now,
-            retry_after: now,
-        };
+        let job = OwnJob::new(self.claim_count, run, checkpoint, self.cx.clock.now());
         self.plan.mark_running(id.clone());
         self.own_jobs.insert(id, job);
     }
@@ -364,17 +318,17 @@
             ready.map(move |index| (job, index))
         });
         let rank =
-            |(job, index): &(&OwnJob, usize)| self.run_times.rank(&candidate(job, *index), now);
+            |(job, index): &(&OwnJob, usize)| self.run_times.rank(&job.candidate(*index), now);
         waiting.min_by_key(rank).map(|(job, index)| (job.run.id().clone(), index))
     }
 
     fn start_item(&mut self, id: &JobId, index: usize) {
         let Some(job) = self.own_jobs.get_mut(id) else { return };
         job.run.start_item(index);
-        let output = match job.interrupted.get_mut(&index) {
-            Some(interrupted) => std::mem::take(&mut interrupted.output),
-            None => EventData::default(),
-        };
+        let interrupted = job.interrupted.get_mut(&index);
+        let output = SharedOutput::new(
+            interrupted.map(|it| std::mem::take(&mut it.output)).unwrap_or_default(),
+        );
         let call = item_call(&self.cx, &job.run, job.run.item(index));
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
         let claim = job.claim;
@@ -385,21 +339,21 @@
         let placement_tx = events.clone();
         // Created outside the task, so that the notice is also sent if the task is aborted before its first poll.
         let mut placement = PlacementNotice { events: placement_tx, is_sent: false };
+        let item_output = output.clone();
         let (run, handle) = abortable(async move {
-            let ended = item::run(&cx, &call, terms, output, || placement.send()).await;
+            let ended = item::run(&cx, &call, terms, item_output, || placement.send()).await;
             drop(placement);
             // The worker may have ended.
             let _ = events.try_send(Event::ItemEnded { id, claim, index, ended: Box::new(ended) });
         });
-        job.items.insert(index, handle);
+        job.items.insert(index, RunningItem { handle, output });
         self.waiting_items += 1;
         task::spawn(run);
     }
 
     fn commit(&mut self, now: Timestamp) {
-        for job in self.own_jobs.values_mut().filter(|it| it.may_commit(now)) {
-            let Some(transaction) = job.run.commit(now) else { continue };
-            job.commit_after = now + MIN_COMMIT_INTERVAL;
+        for job in self.own_jobs.values_mut() {
+            let Some(transaction) = job.next_transaction(now) else { continue };
             let (id, claim) = (job.run.id().clone(), job.claim);
             let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
             task::spawn(async move {
@@ -413,6 +367,9 @@
         let now = self.cx.clock.now();
         let Some(job) = self.own_jobs.get_mut(id).filter(|it| it.claim == claim) else { return };
         match outcome {
+            Ok(CommitOutcome::Won(revision)) if job.run.is_storing_checkpoint() => {
+                job.run.on_committed(revision);
+            }
             Ok(CommitOutcome::Won(revision)) => {
                 job.run.on_committed(revision);
                 let (listed, total) = (job.run.record().listed.len(), job.run.record().total);
@@ -426,13 +383,15 @@
             Ok(CommitOutcome::Lost(_)) => {
                 self.drop_and_reclaim(id, "the job was changed by another")
             }
+            Ok(CommitOutcome::Unknown) if job.run.is_storing_checkpoint() => {
+                job.on_commit_failed(now);
+            }
             Ok(CommitOutcome::Unknown) => {
                 job.run.on_not_committed();
                 self.drop_and_reclaim(id, "it is not known whether results were stored");
             }
             Err(e) => {
-                job.run.on_not_committed();
-                job.retry_after = now + COMMIT_RETRY_DELAY;
+                job.on_commit_failed(now);
                 debug!(self.cx.log, "results not stored"; "job" => id.as_str(), "error" => %e);
             }
         }
@@ -469,11 +428,3 @@
         self.send();
     }
 }
-
-fn candidate(job: &OwnJob, index: usize) -> Candidate {
-    Candidate {
-        due_at: job.run.times().due_at,
-        tokens: job.run.item(index).tokens,
-        events: job.interrupted.get(&index).map_or(0, |it| it.output.event_count()),
-    }
-}
--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -1,5 +1,7 @@
 //! Collects the data of a stream of server-sent events.
 
+use jobs::PartialOutput;
+
 use super::events::{EventSplitter, StreamError};
 
 /// The maximum length of the data of one stream; it leaves room for what JSON adds, so that the data fits into one value of
@@ -13,7 +15,20 @@
     text: String,
 }
 
+impl From<PartialOutput> for EventData {
+    fn from(partial: PartialOutput) -> Self {
+        let PartialOutput { text, events, last_event } = partial;
+        Self { splitter: EventSplitter::resume(events, last_event), text }
+    }
+}
+
 impl EventData {
+    /// Returns the whole events, if a run can continue after them.
+    pub fn partial_output(&self) -> Option<PartialOutput> {
+        let last_event = self.last_id()?;
+        Some(PartialOutput { text: self.text.clone(), events: self.event_count(), last_event })
+    }
+
     /// Adds a piece of the stream.
     ///
     /// # Errors
--- a/crates/borageshed/src/online/events.rs
+++ b/crates/borageshed/src/online/events.rs
@@ -43,6 +43,11 @@
 }
 
 impl EventSplitter {
+    /// Creates a splitter for a stream of which some events are known already.
+    pub fn resume(event_count: u64, last_id: u64) -> Self {
+        Self { partial: Vec::new(), event_count, last_id: Some(last_id) }
+    }
+
     /// Adds a piece of the stream and returns the events that it completes.
     ///
     /// # Errors
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -414,6 +414,30 @@
     site.wait_for_results("job-1", 2).await
 }
 
+// Guards against the output of running items that is lost when the daemon that runs them crashes.
+#[async_std::test]
+async fn the_items_of_a_crashed_daemon_continue_after_their_stored_output() -> io::Result<()> {
+    let target = Target::start(stream(200, 20)).await?;
+    let mut site = Site::start(&[("t-1", &target)]).await?;
+    assert_eq!(site.send(submission("job-1", &["i-1", "i-2"])).await.status, 202);
+    let stored = || site.platform.with_kv(|kv| kv.get("work/job/job-1/checkpoint").is_some());
+    wait_until("partial outputs are stored", async || stored()).await?;
+    site.worker.crash();
+    site.worker = site.restart_worker()?;
+    wait_until("the items run again", async || target.requests().len() == 4).await?;
+    for req in &target.requests()[2..] {
+        assert!(req.header("last-event-id").is_some(), "{req:?}");
+    }
+    site.wait_for_results("job-1", 2).await?;
+    assert!(!stored(), "nothing is left of a job that has ended");
+    let reply = site.send(Call::get(operator::results_path("job-1", 0)).key(KEY)).await.json();
+    for result in reply["results"].as_array().expect("a list") {
+        let text = result["text"].as_str().expect("text");
+        assert_eq!(text.lines().count(), 200, "each event stands once: {text}");
+    }
+    Ok(())
+}
+
 // Guards against results that were read and disappear later, because a former owner stored them late and the new owner does not
 // know them.
 #[async_std::test]
--- a/crates/borageshed/tests/readers.rs
+++ b/crates/borageshed/tests/readers.rs
@@ -7,7 +7,7 @@
 use borageshed::job_work::readers::{
     ANSWER_TIMEOUT, ClaimProspect, LocalJobState, Question, Readers, Reply,
 };
-use jobs::{Discovery, ItemEnd, JobId, JobRecord, JobRun, JobTimes, Submission};
+use jobs::{Checkpoint, Discovery, ItemEnd, JobId, JobRecord, JobRun, JobTimes, Submission};
 use kv_store::Revision;
 use peer::{JobRequest, JobStatus};
 use stdx::{Name, Timestamp};
@@ -56,7 +56,7 @@
 fn a_result_is_sent_as_soon_as_it_is_stored() {
     let (mut readers, mut run) = (Readers::default(), run(&["a", "b"]));
     finish(&mut run, 0, "first");
-    run.commit(at(0)).expect("a result");
+    run.commit(at(0), &Checkpoint::default()).expect("a result");
     ask(&mut readers, at(0), 0, "");
     assert!(readers.answer(at(500), |_| owned_state(&run)).is_empty(), "it is not stored yet");
     run.on_committed(Revision(6));
@@ -110,7 +110,7 @@
 fn questions_about_a_finished_job_are_answered_from_memory() {
     let (mut readers, mut run) = (Readers::default(), run(&["a"]));
     finish(&mut run, 0, "all");
-    run.commit(at(0)).expect("a result");
+    run.commit(at(0), &Checkpoint::default()).expect("a result");
     run.on_committed(Revision(6));
     readers.keep_ended(run);
     let unknown =
--- a/crates/jobs/src/key.rs
+++ b/crates/jobs/src/key.rs
@@ -64,6 +64,11 @@
         format!("{}results/", self.progress_prefix())
     }
 
+    /// Returns the key of the partial outputs of the job's running items.
+    pub fn checkpoint_key(&self) -> String {
+        format!("{JOB_PREFIX}{}/checkpoint", self.0)
+    }
+
     /// Returns the key of the job in the index of unfinished jobs.
     pub fn open_key(&self) -> String {
         format!("{OPEN_PREFIX}{}", self.0)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,9 +7,11 @@
 //! - [`submission`]: the transaction that accepts a job.
 //! - [`run`]: the owner's state of a job: waiting and running items, and results that are not stored yet.
 //! - [`order`]: the order in which items run.
+//! - [`checkpoint`]: partial outputs of running items.
 //! - [`claim`]: the daemon that claims a job.
 //! - [`times`]: the deadlines of a job on the monotonic clock of the daemon that runs it.
 
+pub mod checkpoint;
 pub mod claim;
 pub mod key;
 pub mod model;
@@ -18,6 +20,7 @@
 pub mod submission;
 pub mod times;
 
+pub use checkpoint::{Checkpoint, PartialOutput};
 pub use key::JobId;
 pub use model::{Item, ItemResult, ItemState, JobRecord, OpenJob};
 pub use run::{ItemEnd, JobRun};
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -10,13 +10,14 @@
 use stdx::{Name, Timestamp, record_type};
 
 use crate::{
+    checkpoint::Checkpoint,
     key::JobId,
     model::{Item, ItemResult, ItemState, JobRecord, OpenJob, encode},
     times::JobTimes,
 };
 
-/// The maximum number of results in one transaction; the record, index entry, claim and conditions take five more of the 32
-/// operations.
+/// The maximum number of results in one transaction; the record, index entry, checkpoint, claim and conditions take six more
+/// of the 32 operations.
 const MAX_RESULTS: usize = 24;
 /// The minimum time between two writes of the index entry while items are left. Each write wakes every daemon that runs items,
 /// while an outdated entry, which still counts finished items, only delays further submissions of the account.
@@ -61,8 +62,10 @@
     poison_verdicts: Vec<u32>,
     /// Results that are not stored yet.
     unstored: VecDeque<(usize, ItemResult)>,
-    /// The encoded results in the transaction in flight.
-    storing: Vec<Arc<[u8]>>,
+    /// The encoded results in the transaction in flight, if there is one. A transaction without results stores only a
+    /// checkpoint and leaves the record as it is.
+    storing: Option<Vec<Arc<[u8]>>>,
+    has_checkpoint: bool,
     /// The encoded results that are stored, by position.
     stored: Vec<Arc<[u8]>>,
     times: JobTimes,
@@ -99,7 +102,8 @@
             failures,
             poison_verdicts,
             unstored: VecDeque::new(),
-            storing: Vec::new(),
+            storing: None,
+            has_checkpoint: false,
             stored,
             times,
             index_written_at: None,
@@ -192,9 +196,10 @@
         }
     }
 
-    /// Returns the transaction that stores finished results, if there are any and no other transaction is in flight.
-    pub fn commit(&mut self, now: Timestamp) -> Option<Transaction> {
-        if self.unstored.is_empty() || !self.storing.is_empty() {
+    /// Returns the transaction that stores finished results together with the partial outputs of running items, if there are
+    /// results and no other transaction is in flight.
+    pub fn commit(&mut self, now: Timestamp, checkpoint: &Checkpoint) -> Option<Transaction> {
+        if self.unstored.is_empty() || self.storing.is_some() {
             return None;
         }
         let mut record = self.record.clone();
@@ -209,7 +214,7 @@
             results.push((self.id.result_key(record.listed.len()), value));
             record.listed.push(*index);
         }
-        self.storing = results.iter().map(|(_, value)| Arc::from(value.as_slice())).collect();
+        self.storing = Some(results.iter().map(|(_, value)| Arc::from(value.as_slice())).collect());
         let mut transaction = Transaction::default()
             .expect(self.id.record_key(), self.revision)
             .write(self.id.record_key(), encode(&record));
@@ -217,7 +222,15 @@
             transaction = transaction.write(key, value);
         }
         if record.is_ended() {
-            return Some(transaction.remove(self.id.open_key()).remove(self.id.claim_key()));
+            transaction = transaction.remove(self.id.open_key()).remove(self.id.claim_key());
+            return Some(match self.has_checkpoint {
+                true => transaction.remove(self.id.checkpoint_key()),
+                false => transaction,
+            });
+        }
+        if !checkpoint.items.is_empty() {
+            self.has_checkpoint = true;
+            transaction = transaction.write(self.id.checkpoint_key(), encode(checkpoint));
         }
         if self.index_written_at.is_some_and(|it| now.since(it) < INDEX_INTERVAL) {
             return Some(transaction);
@@ -226,22 +239,51 @@
         Some(transaction.write(self.id.open_key(), encode(&self.open_entry(&record))))
     }
 
+    /// Returns the transaction that stores only partial outputs, if there are any and no other transaction is in flight.
+    pub fn store_checkpoint(&mut self, checkpoint: &Checkpoint) -> Option<Transaction> {
+        if checkpoint.items.is_empty() || self.storing.is_some() {
+            return None;
+        }
+        self.storing = Some(Vec::new());
+        self.has_checkpoint = true;
+        let transaction = Transaction::default().expect(self.id.record_key(), self.revision);
+        Some(transaction.write(self.id.checkpoint_key(), encode(checkpoint)))
+    }
+
     /// Records that the transaction in flight took effect; ignored if none is, since the answer may then belong to an earlier
     /// claim and the stored record may differ from this one.
     pub fn on_committed(&mut self, revision: Revision) {
-        if self.storing.is_empty() {
+        let Some(mut results) = self.storing.take() else { return };
+        if results.is_empty() {
+            // The revision of the record stays as it is.
             return;
         }
-        for (index, _) in self.unstored.drain(..self.storing.len()) {
+        for (index, _) in self.unstored.drain(..results.len()) {
             self.record.listed.push(index);
         }
-        self.stored.append(&mut self.storing);
+        self.stored.append(&mut results);
         self.revision = revision;
     }
 
     /// Records that the transaction in flight had no effect.
     pub fn on_not_committed(&mut self) {
-        self.storing.clear();
+        self.storing = None;
+    }
+
+    /// Returns whether a transaction is in flight.
+    pub fn is_storing(&self) -> bool {
+        self.storing.is_some()
+    }
+
+    /// Returns whether the transaction in flight stores only partial outputs, so that nothing is lost if its outcome is
+    /// unknown.
+    pub fn is_storing_checkpoint(&self) -> bool {
+        self.storing.as_ref().is_some_and(Vec::is_empty)
+    }
+
+    /// Returns whether there are results that are not stored.
+    pub fn has_unstored_results(&self) -> bool {
+        !self.unstored.is_empty()
     }
 
     /// Returns whether every item has a result, stored or not.
--- a/crates/jobs/tests/run.rs
+++ b/crates/jobs/tests/run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{RECEIVED, item, run};
-use jobs::{ItemEnd, ItemResult, ItemState};
+use jobs::{Checkpoint, ItemEnd, ItemResult, ItemState};
 use kv_store::{Revision, Transaction};
 
 fn done(text: &str) -> ItemEnd {
@@ -30,7 +30,7 @@
     }
     run.on_end(2, done("third"), RECEIVED);
     run.on_end(0, done("first"), RECEIVED);
-    let transaction = run.commit(RECEIVED).expect("two results");
+    let transaction = run.commit(RECEIVED, &Checkpoint::default()).expect("two results");
     assert_eq!(transaction.expected[0].revision, Revision(5));
     let stored = results(&transaction);
     let positions: Vec<(&str, &str)> = stored.iter().map(|(key, it)| (&**key, &*it.id)).collect();
@@ -41,12 +41,12 @@
             ("work/job/job-1/progress/results/0001", "a")
         ]
     );
-    assert_eq!(run.commit(RECEIVED), None, "one transaction at a time");
+    assert_eq!(run.commit(RECEIVED, &Checkpoint::default()), None, "one transaction at a time");
     run.on_committed(Revision(9));
     assert!(!run.has_all_results());
     run.on_end(1, done("second"), RECEIVED);
     assert!(run.has_all_results(), "all items have a result, stored or not");
-    let last = run.commit(RECEIVED).expect("the last result");
+    let last = run.commit(RECEIVED, &Checkpoint::default()).expect("the last result");
     assert_eq!(last.expected[0].revision, Revision(9));
     assert_eq!(results(&last)[0].0, "work/job/job-1/progress/results/0002");
     let removed = ["work/index/open/job-1".into(), "work/index/claim/job-1".into()];
@@ -61,9 +61,9 @@
     let mut run = run(vec![item("a", 0), item("b", 0)]);
     run.start_item(0);
     run.on_end(0, done("first"), RECEIVED);
-    let first = run.commit(RECEIVED).expect("a result");
+    let first = run.commit(RECEIVED, &Checkpoint::default()).expect("a result");
     run.on_not_committed();
-    let again = run.commit(RECEIVED).expect("the same result");
+    let again = run.commit(RECEIVED, &Checkpoint::default()).expect("the same result");
     assert_eq!(results(&first), results(&again));
 }
 
@@ -82,7 +82,7 @@
     end(2, ItemEnd::Failed);
     end(2, ItemEnd::Failed);
     assert_eq!(run.waiting().collect::<Vec<_>>(), [0]);
-    let stored = results(&run.commit(RECEIVED).expect("two results"));
+    let stored = results(&run.commit(RECEIVED, &Checkpoint::default()).expect("two results"));
     assert!(stored.iter().all(|(_, it)| it.state == ItemState::Failed && it.text.is_empty()));
     assert_eq!(stored.iter().map(|(_, it)| &*it.id).collect::<Vec<_>>(), ["b", "c"]);
 }
@@ -97,7 +97,9 @@
     run.give_up_late(RECEIVED + Duration::from_secs(60));
     assert_eq!(run.waiting().count(), 0);
     run.on_end(0, ItemEnd::Interrupted, RECEIVED + Duration::from_secs(60));
-    let stored = results(&run.commit(RECEIVED + Duration::from_secs(60)).expect("results"));
+    let stored = results(
+        &run.commit(RECEIVED + Duration::from_secs(60), &Checkpoint::default()).expect("results"),
+    );
     assert_eq!(stored.len(), 2);
 }
 
@@ -106,15 +108,15 @@
 fn an_end_of_an_item_that_does_not_run_changes_nothing() {
     let mut run = run(vec![item("a", 0), item("b", 0)]);
     run.on_end(0, done("of an earlier claim"), RECEIVED);
-    assert_eq!(run.commit(RECEIVED), None);
+    assert_eq!(run.commit(RECEIVED, &Checkpoint::default()), None);
     run.start_item(0);
     run.on_end(0, done("first"), RECEIVED);
     run.on_end(0, done("again"), RECEIVED);
-    let stored = results(&run.commit(RECEIVED).expect("one result"));
+    let stored = results(&run.commit(RECEIVED, &Checkpoint::default()).expect("one result"));
     assert_eq!(stored.iter().map(|(_, it)| &*it.text).collect::<Vec<_>>(), ["first"]);
     run.on_committed(Revision(9));
     run.on_end(0, done("late"), RECEIVED);
-    assert_eq!(run.commit(RECEIVED), None);
+    assert_eq!(run.commit(RECEIVED, &Checkpoint::default()), None);
     assert_eq!(run.waiting().collect::<Vec<_>>(), [1]);
 }
 
@@ -126,7 +128,7 @@
     run.on_committed(Revision(9));
     run.start_item(0);
     run.on_end(0, done("first"), RECEIVED);
-    let transaction = run.commit(RECEIVED).expect("one result");
+    let transaction = run.commit(RECEIVED, &Checkpoint::default()).expect("one result");
     assert_eq!(transaction.expected[0].revision, Revision(5));
 }
 
@@ -140,6 +142,6 @@
     assert_eq!(run.poison_verdicts(0), 1);
     run.start_item(0);
     run.on_end(0, ItemEnd::Poison, RECEIVED);
-    let stored = results(&run.commit(RECEIVED).expect("a result"));
+    let stored = results(&run.commit(RECEIVED, &Checkpoint::default()).expect("a result"));
     assert_eq!(stored[0].1.state, ItemState::Failed);
 }
