Hold the claims of jobs under a lease of 2.4 s

Cause: the jobs of a daemon that is cut off wait until its lease lapses; with 4 s they were claimed 4.9 s after a failure domain was cut off, and their items ended 16 to 20 s after the submission, due after 18 s. Change: the lease lasts 2.4 s and is renewed every 0.8 s. A lease that lapses early costs little since items continue after their stored output.

--- a/crates/borageshed/src/job_work/lease.rs
+++ b/crates/borageshed/src/job_work/lease.rs
@@ -11,13 +11,13 @@
 
 /// The time to live of the lease, after which other daemons take over the jobs of a daemon that crashed or is cut
 /// off.
-const LEASE_TTL: Duration = Duration::from_secs(4);
+const LEASE_TTL: Duration = Duration::from_millis(2_400);
 /// How long after a renewal was sent it is certain that no other daemon has stored results of a job claimed here. An outage may
 /// end the lease before its time to live is over, but other daemons then need longer than this to reconnect, claim a job and
 /// store results.
 const GUARANTEED_HOLD: Duration = Duration::from_millis(2_000);
 /// How often the lease is renewed; it survives the loss of one renewal.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_300);
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(800);
 /// The delay after a failed grant.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
