Make calls of a cut-off daemon to the store through daemons that reach it

Cause: a daemon that alone is cut off from the store, or turned away by it, refused every job and lost the claims of those that it ran. A call that surely had no effect, a read, or the renewal of a lease is made again through a linked daemon that has just answered a probe; while the direct path fails, calls go there first, and renewals of leases test the direct path. A daemon never forwards a forwarded call, and answers at once if it does not reach the store itself. Writes with a lost answer are settled by their token as before.

--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! - `loads`: reports of requests in flight between daemons.
 //! - `pending`: tracks questions to other daemons until they are answered.
 //! - `reads`: reads of the key-value service through relays.
+//! - `store_calls`: calls to the key-value service for daemons that cannot reach it.
 
 mod configuration;
 mod jobs;
@@ -14,6 +15,7 @@
 mod loads;
 mod pending;
 mod reads;
+mod store_calls;
 
 use std::{
     collections::BTreeMap,
@@ -41,7 +43,7 @@
 
 pub use links::{PeerInfo, millicores};
 
-use self::{jobs::JobQuestions, links::Links, reads::Reads};
+use self::{jobs::JobQuestions, links::Links, reads::Reads, store_calls::StoreCalls};
 use crate::{
     config_sync::PeerRevision, control::ControlEvent, loans, metrics::PeerLabels, shared::Shared,
     status::OverlayStatus, suspects,
@@ -68,6 +70,7 @@
     links: Links,
     reads: Reads,
     jobs: JobQuestions,
+    store_calls: StoreCalls,
     /// The latest load reports of other daemons, which a relay sums up.
     load_reports: Mutex<LoadReports>,
     /// The number of rounds of load reports so far.
@@ -111,6 +114,7 @@
             links: Links::new(own),
             reads: Reads::default(),
             jobs: JobQuestions::default(),
+            store_calls: StoreCalls::default(),
             load_reports: Mutex::default(),
             load_round: AtomicU64::new(0),
             load_shared_at: Mutex::default(),
@@ -120,6 +124,7 @@
         };
         let peers = Self { inner: Arc::new(inner) };
         peers.enable_relayed_reads(cx);
+        peers.enable_forwarded_calls(cx);
         Ok(peers)
     }
 
@@ -292,6 +297,7 @@
                 peers.inner.links.set_link(&peer, false);
                 peers.inner.reads.pending.on_link_lost(&peer);
                 peers.inner.jobs.pending.on_link_lost(&peer);
+                peers.inner.store_calls.pending.on_link_lost(&peer);
                 peers.load_reports().forget(&peer);
                 peers.update_links(&cx);
             }
@@ -312,6 +318,10 @@
         Message::ReadAnswer(answer) => {
             return peers.inner.reads.pending.on_answer(answer.id, answer);
         }
+        Message::StoreCall(call) => return peers.perform_call(cx, from, call),
+        Message::StoreCallAnswer(answer) => {
+            return peers.inner.store_calls.pending.on_answer(answer.id, answer);
+        }
         Message::Flood(Flood { origin, payload }) => {
             Frame::Flood { origin: Name::from(origin), payload }
         }
@@ -381,7 +391,9 @@
         | Message::Forward(_)
         | Message::Loads(_)
         | Message::ReadRequest(_)
-        | Message::ReadAnswer(_) => {}
+        | Message::ReadAnswer(_)
+        | Message::StoreCall(_)
+        | Message::StoreCallAnswer(_) => {}
         Message::JobAccepted(job) => peers.inner.jobs.enqueue_job(job),
         Message::JobRequest(req) if cx.settings.batch.enabled => {
             peers.inner.jobs.enqueue_question(from, req);
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -14,6 +14,7 @@
 use operator_site::{KEY, LIMIT, Site, call, stream, submission, wait_until};
 use test_support::{
     http::Call,
+    link::Relay as Link,
     operator::{self, DRAFTS, HOST, LOOKUPS, STREAMS},
     platform::{Faults, READ_KEY_CALL},
     target::{Behaviour, STAMP_HEADER, Target},
@@ -438,6 +439,61 @@
     Ok(())
 }
 
+/// How a daemon is cut off from the store.
+#[derive(Debug, Clone, Copy)]
+enum StoreCut {
+    /// Connections are reset.
+    Reset,
+    /// Connections stay open and carry nothing.
+    Silent,
+}
+
+fn cut_off(link: &Link, cut: StoreCut) {
+    match cut {
+        StoreCut::Reset => {
+            link.refuse(true);
+            link.cut();
+        }
+        StoreCut::Silent => {
+            link.silence();
+            link.silence_new(true);
+        }
+    }
+}
+
+// Guards against jobs that are refused because the daemon that their caller reaches is the only one without the store.
+#[async_std::test]
+async fn a_job_is_accepted_at_a_daemon_that_is_cut_off_from_the_store() -> io::Result<()> {
+    for (n, cut) in [StoreCut::Reset, StoreCut::Silent].into_iter().enumerate() {
+        let target = Target::start(stream(2, 1)).await?;
+        let site = Site::start(&[("t-1", &target)]).await?;
+        cut_off(&site.entry_link, cut);
+        let id = format!("job-{n}");
+        let submit = || submission(&id, &["i-1", "i-2"]);
+        wait_until("the job is accepted", async || site.send(submit()).await.status == 202).await?;
+        assert_eq!(site.send(submit()).await.status, 202, "{cut:?}: a resend finds the same job");
+        site.wait_for_results(&id, 2).await?;
+        assert_eq!(target.requests().len(), 2, "{cut:?}: each item runs once");
+    }
+    Ok(())
+}
+
+// Guards against items that start over elsewhere because the daemon that runs them is cut off from the store for longer than
+// its lease lasts, while other daemons reach both.
+#[async_std::test]
+async fn a_daemon_that_is_cut_off_from_the_store_keeps_its_jobs() -> io::Result<()> {
+    for cut in [StoreCut::Reset, StoreCut::Silent] {
+        let target = Target::start(stream(300, 20)).await?;
+        let site = Site::start(&[("t-1", &target)]).await?;
+        assert_eq!(site.send(submission("job-1", &["i-1", "i-2"])).await.status, 202);
+        wait_until("items run", async || target.requests().len() == 2).await?;
+        cut_off(&site.worker_link, cut);
+        site.wait_for_results("job-1", 2).await?;
+        assert_eq!(target.requests().len(), 2, "{cut:?}: no item runs again");
+    }
+    Ok(())
+}
+
 // Guards against results that were read and disappear later, because a former owner stored them late and the new owner does not
 // know them.
 #[async_std::test]
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -12,6 +12,7 @@
 use tempfile::TempDir;
 use test_support::{
     http::{Call, Reply},
+    link::Relay as Link,
     operator::{self, HOST, JOBS},
     platform::Platform,
     processes::{Process, binary},
@@ -27,6 +28,9 @@
 pub struct Site {
     pub folder: TempDir,
     pub platform: Platform,
+    /// The paths from the two daemons to the store.
+    pub entry_link: Link,
+    pub worker_link: Link,
     pub entry: Process,
     pub worker: Process,
     ip: Ipv4Addr,
@@ -45,12 +49,15 @@
             operator::register(&platform, id, target.address());
         }
         operator::register_malformed(&platform, "garbage");
-        let mut entry = settings(&platform, ip, "entry", 8_100);
+        let entry_link = Link::start(platform.address()).await?;
+        let worker_link = Link::start(platform.address()).await?;
+        let mut entry = settings(entry_link.address(), ip, "entry", 8_100);
         entry["listen"] = json!(SocketAddr::from((ip, 8_000)));
         entry["batch"] = json!({ "enabled": false });
         let entry = start(&folder, "entry", &entry)?;
-        let worker = start(&folder, "worker", &settings(&platform, ip, "worker", 8_200))?;
-        let site = Self { folder, platform, entry, worker, ip };
+        let worker =
+            start(&folder, "worker", &settings(worker_link.address(), ip, "worker", 8_200))?;
+        let site = Self { folder, platform, entry_link, worker_link, entry, worker, ip };
         let ready = Call::get("/readyz");
         let admin = SocketAddr::from((ip, 8_100));
         wait_until("the entry daemon is ready", async || {
@@ -62,7 +69,7 @@
 
     /// Starts another worker daemon.
     pub fn start_worker(&self, name: &str, port: u16) -> io::Result<Process> {
-        start(&self.folder, name, &settings(&self.platform, self.ip, name, port))
+        start(&self.folder, name, &settings(self.platform.address(), self.ip, name, port))
     }
 
     /// Starts the worker daemon again after a crash.
@@ -93,12 +100,12 @@
     }
 }
 
-fn settings(platform: &Platform, ip: Ipv4Addr, name: &str, port: u16) -> Value {
+fn settings(store: SocketAddr, ip: Ipv4Addr, name: &str, port: u16) -> Value {
     json!({
         "instance": name, "failure_domain": "a", "source": "operator", "cut_withdrawn": false,
         "admin_listen": SocketAddr::from((ip, port)),
         "peer_listen": SocketAddr::from((ip, port + 1)),
-        "platform": { "address": platform.address(), "writes_per_s": 100, "reads_per_s": 200 },
+        "platform": { "address": store, "writes_per_s": 100, "reads_per_s": 200 },
         "log_level": "debug",
     })
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -17,6 +17,7 @@
     ClosedLoan, ConfigChunk, ConfigFetch, Flood, Forward, Heartbeat, Hello, JobAccepted, JobAnswer,
     JobCancelled, JobRequest, JobStatus, Leaving, LinkRole, LoadPart, Loads, LoanGrant,
     LoanRequest, LoanReturn, Message, PoisonSuspicion, PoisonVerdict, ReadAnswer, ReadRequest,
-    ReadStatus, StoredItem, SuspectClaim, SuspectState,
+    ReadStatus, StoreCall, StoreCallAnswer, StoreCallOutcome, StoreMethod, StoredItem,
+    SuspectClaim, SuspectState,
 };
 pub use stats::Stats;
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -1,5 +1,6 @@
 //! The messages and their encoding. Field numbers are never reused, so that versions can be mixed during an upgrade.
 //!
+//! - [`calls`]: calls to the key-value service that one daemon makes for another.
 //! - [`config`]: parts of the configuration.
 //! - [`jobs`]: batch jobs.
 //! - [`links`]: links, and messages that are relayed over several links.
@@ -8,6 +9,7 @@
 //! - [`poison`]: requests that crash targets.
 //! - [`reads`]: reads of the key-value service through relays.
 
+pub mod calls;
 pub mod config;
 pub mod jobs;
 pub mod links;
@@ -20,6 +22,7 @@
 use prost::Message as _;
 use thiserror::Error;
 
+pub use calls::{StoreCall, StoreCallAnswer, StoreCallOutcome, StoreMethod};
 pub use config::{ConfigChunk, ConfigFetch};
 pub use jobs::{JobAccepted, JobAnswer, JobCancelled, JobRequest, JobStatus};
 pub use links::{Flood, Forward, Hello, Leaving, LinkRole};
@@ -103,13 +106,19 @@
     /// Answers a question about a job.
     #[prost(message, tag = "21")]
     JobAnswer(JobAnswer),
+    /// Asks for a call to the key-value service.
+    #[prost(message, tag = "23")]
+    StoreCall(StoreCall),
+    /// Answers a call to the key-value service.
+    #[prost(message, tag = "24")]
+    StoreCallAnswer(StoreCallAnswer),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     message: Option<Message>,
 }
