Give up the first dial of a peer after 250 ms

Cause: after a loss of power all daemons dial each other within milliseconds. Change: the timeout of a dial starts at 250 ms and doubles with each failure up to the silence limit.

--- a/crates/peer/src/dial.rs
+++ b/crates/peer/src/dial.rs
@@ -8,10 +8,12 @@
 use crate::{
     hub::{HubConfig, Peer, Shared},
     link::{self, DialledPeer},
+    schedule::dial_timeout,
 };
 
 /// Keeps a link to a peer until the peer is removed from the set.
 pub(crate) async fn run(shared: Arc<Shared>, peer: Peer, dialled: DialledPeer) {
+    let mut failures = 0;
     let mut max_delay = initial_max_delay(&shared.cfg);
     while !dialled.stop.is_closed() {
         if shared.is_linked(&peer.id) {
@@ -19,15 +21,15 @@
             let _ = future::timeout(shared.cfg.silence_limit, dialled.stop.recv()).await;
             continue;
         }
-        let dial =
-            future::timeout(shared.cfg.silence_limit, TcpStream::connect(peer.address)).await;
+        let limit = dial_timeout(failures, shared.cfg.silence_limit);
+        let dial = future::timeout(limit, TcpStream::connect(peer.address)).await;
         let was_up = match dial {
             Ok(Ok(stream)) => link::run(&shared, stream, Some(&dialled)).await,
             _ => false,
         };
-        max_delay = match was_up {
-            true => initial_max_delay(&shared.cfg),
-            false => (max_delay * 2).min(shared.cfg.max_backoff),
+        (failures, max_delay) = match was_up {
+            true => (0, initial_max_delay(&shared.cfg)),
+            false => (failures + 1, (max_delay * 2).min(shared.cfg.max_backoff)),
         };
         let delay = random_delay(shared.cfg.min_backoff, max_delay);
         // Returns after the delay or when the channel closes; the loop condition tells them apart.
--- a/crates/peer/src/schedule.rs
+++ b/crates/peer/src/schedule.rs
@@ -1,4 +1,4 @@
-//! How often heartbeats are sent.
+//! How often heartbeats are sent, and how long dials take.
 //!
 //! A link must send frames often enough that the peer doesn't close it as silent, while all heartbeats together must
 //! stay within a byte rate. Heartbeats are therefore sent as often as the rate allows, and empty frames in between keep
@@ -27,3 +27,12 @@
     let bytes_per_round = (links * (size + LENGTH_BYTES)) as f64;
     Duration::from_secs_f64(bytes_per_round / heartbeat_rate).max(MIN_HEARTBEAT_INTERVAL)
 }
+
+/// The time after which the first dial of a peer is given up. A packet to an instance without power is lost, and the kernel
+/// sends it again only after a second, while instances that lose power together are back within a fraction of one.
+const FIRST_DIAL_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Returns the timeout of a dial after `failures` failed ones in a row. It grows, so that distant peers are reached as well.
+pub fn dial_timeout(failures: u32, silence_limit: Duration) -> Duration {
+    FIRST_DIAL_TIMEOUT.saturating_mul(2_u32.saturating_pow(failures)).min(silence_limit)
+}
