Leave room for online requests while an instance has just started

Cause: after a loss of power each worker found all targets empty and filled them, 96 items on 96 slots within 100 ms, while online requests came back. Change: in the first 1.5 s after the start, batch requests leave the large reserve of each target free and stay in the failure domain of their instance.

--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -21,6 +21,10 @@
 };
 use crate::status::{ControlStatus, LoadStatus, ServiceStatus};
 
+/// How long after the start of the process batch requests leave room for the requests of other instances. Links to the others
+/// and their first load reports take up to a second.
+const BATCH_WARM_UP: Duration = Duration::from_millis(1_500);
+
 /// The maximum interval between two ticks, at which queue deadlines, probes and rate slots are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// The maximum interval while nothing is due by time, so that idle daemons use little processor time.
@@ -67,7 +71,10 @@
 impl State {
     /// Creates the state of a daemon without a document.
     pub fn new(cfg: ControlConfig, log: Logger, effects: async_channel::Sender<Effect>) -> Self {
-        let settings = dispatch::Settings::new(cfg.instance.clone(), cfg.failure_domain.clone());
+        let settings = dispatch::Settings {
+            warm_up_until: Timestamp::ZERO + BATCH_WARM_UP,
+            ..dispatch::Settings::new(cfg.instance.clone(), cfg.failure_domain.clone())
+        };
         let dispatcher = Dispatcher::new(settings, rng::seeded(cfg.seed));
         Self {
             cfg,
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -133,7 +133,9 @@
         let mut free: Vec<_> = service
             .targets
             .values()
-            .filter(|it| it.has_room(settings, held.need(now)) && self.may_run(now, held, it))
+            .filter(|it| {
+                it.has_room(settings, held.need(settings, now)) && self.may_run(now, held, it)
+            })
             .collect();
         let own_batch =
             |it: &Target| it.takes_work() && (it.stopping > 0 || !it.stoppable.is_empty());
@@ -157,9 +159,11 @@
         if !local.is_empty() {
             return Some(pick_target(settings, service, held, &self.preferred(held, &local), salt));
         }
-        // Batch requests have no estimated wait, and are meant for slots that are idle elsewhere.
-        let spills = held.class() == Class::Batch
-            || service.estimated_local_wait(settings) > settings.spill_wait;
+        let spills = match held.class() {
+            // Batch requests have no estimated wait, and are meant for slots that are idle elsewhere.
+            Class::Batch => now >= settings.warm_up_until,
+            Class::Online => service.estimated_local_wait(settings) > settings.spill_wait,
+        };
         if spills {
             let remote: Vec<_> = free.iter().copied().filter(|it| !avoided(it)).collect();
             if !remote.is_empty() {
--- a/crates/policy/src/dispatch/service.rs
+++ b/crates/policy/src/dispatch/service.rs
@@ -108,10 +108,11 @@
         self.request.class
     }
 
-    pub fn need(&self, now: Timestamp) -> Need {
+    pub fn need(&self, settings: &Settings, now: Timestamp) -> Need {
+        let large_reserve_until = self.request.large_reserve_until.max(settings.warm_up_until);
         match self.class() {
             Class::Online => Need::Online,
-            Class::Batch => Need::Batch { large_reserve: now < self.request.large_reserve_until },
+            Class::Batch => Need::Batch { large_reserve: now < large_reserve_until },
         }
     }
 
--- a/crates/policy/src/dispatch/settings.rs
+++ b/crates/policy/src/dispatch/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stdx::{Name, record_type};
+use stdx::{Name, Timestamp, record_type};
 
 record_type! {
     /// The settings of a dispatcher.
@@ -25,6 +25,10 @@
         /// late of each other's requests, so in a burst many requests reach the same target before its batch requests have
         /// made room.
         pub large_batch_reserve: f64,
+        /// Until this time, batch requests leave the large reserve free and stay in this failure domain. An instance that
+        /// has just started does not know the requests of the others: after a loss of power, all instances together would
+        /// fill every target beyond its limit while the callers' requests come back.
+        pub warm_up_until: Timestamp,
         /// The load of a prefix's preferred target, relative to the mean, from which another target is chosen.
         pub affinity_bound: f64,
         /// The estimated local wait above which a request goes to another failure domain.
@@ -74,6 +78,7 @@
             max_queued_bytes: 32 << 20,
             batch_reserve: 1,
             large_batch_reserve: 0.375,
+            warm_up_until: Timestamp::ZERO,
             affinity_bound: 1.25,
             spill_wait: Duration::from_millis(20),
             spill_limit: 0.8,
--- a/crates/policy/src/dispatch/suspects.rs
+++ b/crates/policy/src/dispatch/suspects.rs
@@ -300,5 +300,5 @@
 /// Returns whether the claimed target can take the suspect now, without stopping batch requests first.
 fn may_start(now: Timestamp, settings: &Settings, held: &HeldRequest, on: &Target) -> bool {
     let can_stop = on.stopping > 0 || !on.stoppable.is_empty();
-    on.has_room(settings, held.need(now)) && (on.has_free_slot(settings) || !can_stop)
+    on.has_room(settings, held.need(settings, now)) && (on.has_free_slot(settings) || !can_stop)
 }
