Store partial outputs only if they have grown

Cause: a job whose items all waited for a slot stored the same partial outputs again every 1.5 s; on large fleets calls to the store are the largest price. Change: a transaction without results is left out unless the number of events of an item has changed since the last checkpoint.

--- a/crates/borageshed/src/job_work/own_job.rs
+++ b/crates/borageshed/src/job_work/own_job.rs
@@ -1,6 +1,9 @@
 //! A job that this daemon runs: its items in progress and the transactions that store its state.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use futures::future::AbortHandle;
 use jobs::{Checkpoint, JobRun, checkpoint::CheckpointTimer, order::Candidate};
@@ -29,6 +32,8 @@
     /// When a failed transaction may be repeated.
     retry_after: Timestamp,
     checkpoints: CheckpointTimer,
+    /// The numbers of events in the last checkpoint, by the index of the item.
+    checkpointed: BTreeMap<usize, u64>,
 }
 
 /// An item that runs or waits in the dispatcher.
@@ -63,6 +68,7 @@
             commit_after: now,
             retry_after: now,
             checkpoints: CheckpointTimer::new(now),
+            checkpointed: BTreeMap::new(),
         }
     }
 
@@ -86,8 +92,13 @@
         if !may_store_results && !self.checkpoints.is_due(now) {
             return None;
         }
-        let checkpoint = self.checkpoint();
         self.checkpoints.restart(now);
+        let event_counts = self.event_counts();
+        if !may_store_results && event_counts == self.checkpointed {
+            return None;
+        }
+        let checkpoint = self.checkpoint();
+        self.checkpointed = event_counts;
         if !may_store_results {
             return self.run.store_checkpoint(&checkpoint);
         }
@@ -102,15 +113,20 @@
     }
 
     fn checkpoint(&self) -> Checkpoint {
-        let running =
-            self.items.iter().map(|(index, it)| (*index, it.output.lock().partial_output()));
-        let interrupted = self.interrupted.iter();
-        let interrupted = interrupted.map(|(index, it)| (*index, it.output.partial_output()));
-        // The state of an item that runs again after an interruption is in `items`.
-        let interrupted = interrupted.filter(|(index, _)| !self.items.contains_key(index));
-        Checkpoint::collect(
-            running.chain(interrupted).filter_map(|(index, it)| it.map(|it| (index, it))),
-        )
+        Checkpoint::collect(self.outputs(EventData::partial_output))
+    }
+
+    fn event_counts(&self) -> BTreeMap<usize, u64> {
+        self.outputs(|it| Some(it.event_count())).collect()
+    }
+
+    /// Reads the output of each item in progress; skips an item for which `read` returns `None`.
+    fn outputs<T>(&self, read: fn(&EventData) -> Option<T>) -> impl Iterator<Item = (usize, T)> {
+        let running = self.items.iter().map(move |(index, it)| (*index, read(&it.output.lock())));
+        // The output of an item that runs again after an interruption is in `items`.
+        let waiting = self.interrupted.iter().filter(|(it, _)| !self.items.contains_key(it));
+        let waiting = waiting.map(move |(index, it)| (*index, read(&it.output)));
+        running.chain(waiting).filter_map(|(index, it)| it.map(|it| (index, it)))
     }
 }
 
