Expect completion in the fault matrix where only one daemon is cut off from the service

Since that daemon makes its calls through another one, as designed, so the caller gets an answer. Change: the cells expect AnsweredOnce and FinishedOnce: the request has to be answered and the batch to finish, and each exactly once, which asks for more than a refusal. While nobody reaches the service (ServiceDown) or the daemon is cut off from its peers as well (CutFromBoth), the cells still expect the refusal.

--- a/crates/borageshed/tests/matrix/main.rs
+++ b/crates/borageshed/tests/matrix/main.rs
@@ -218,7 +218,7 @@
             CallerSilent     AnsweredOnce              AnsweredOnce              -
             PeerSilent       AnsweredOnce              AnsweredOnce              AnsweredOnce
             CutFromPeers     AnsweredOnce              AnsweredOnce              AnsweredOnce
-            CutFromService   RefusedNotRun             AnsweredOnce              AnsweredOnce
+            CutFromService   AnsweredOnce              AnsweredOnce              AnsweredOnce
             CutFromBoth      RefusedNotRun             AnsweredOnce              AnsweredOnce
             TargetSilent     UnknownOnce               UnknownOnce               AnsweredOnce
             PoisonResent     -                         -                         -
@@ -238,7 +238,7 @@
             CallerSilent     FinishedOnce              FinishedOnce              -                         -                         FinishedOnce
             PeerSilent       FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce
             CutFromPeers     FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce
-            CutFromService   RefusedNotRun             RefusedNotRun             FinishedOnce              FinishedOnce              FinishedOnce
+            CutFromService   FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce
             CutFromBoth      RefusedNotRun             RefusedNotRun             FinishedOnce              FinishedOnce              FinishedOnce
             TargetSilent     FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce              FinishedOnce
             PoisonResent     -                         -                         FinishedOnce              -                         -
--- a/crates/borageshed/tests/matrix/table.rs
+++ b/crates/borageshed/tests/matrix/table.rs
@@ -199,9 +199,7 @@
     Cell::Expect(match (fault, step) {
         // Plain services have no request that crashes them.
         (PoisonResent, _) | (CallerSilent, AfterAnswer) => return Cell::NotApplicable,
-        (KeyWithdrawn | ServiceDown | CutFromService | CutFromBoth, BeforeSending) => {
-            Outcome::RefusedNotRun
-        }
+        (KeyWithdrawn | ServiceDown | CutFromBoth, BeforeSending) => Outcome::RefusedNotRun,
         // The first byte may have been sent on an idle connection that had become silent.
         (TargetSilent, BeforeSending | AfterRun) => Outcome::UnknownOnce,
         (TargetDies | DaemonKilled | KeyWithdrawn, AfterRun) => Outcome::UnknownOnce,
@@ -215,9 +213,7 @@
     Cell::Expect(match (fault, step) {
         (CallerSilent, ItemsRunning | Commit) => return Cell::NotApplicable,
         (PoisonResent, Upload | Commit | Results | Submission) => return Cell::NotApplicable,
-        (KeyWithdrawn | ServiceDown | CutFromService | CutFromBoth, Upload | Submission) => {
-            Outcome::RefusedNotRun
-        }
+        (KeyWithdrawn | ServiceDown | CutFromBoth, Upload | Submission) => Outcome::RefusedNotRun,
         _ => Outcome::FinishedOnce,
     })
 }
