Log each time that calls begin to go through another daemon

Change: the line is written again after 5 s without forwarded calls; the comment says what a late answer counts as.

--- a/crates/borageshed/src/peers/store_calls.rs
+++ b/crates/borageshed/src/peers/store_calls.rs
@@ -4,7 +4,7 @@
     fmt,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -25,7 +25,7 @@
 use super::{Inner, Peers, pending::PendingQuestions};
 use crate::{clock::Clock, shared::Shared};
 
-/// How long the answer of another daemon may take; its own call to the service takes at most 500 ms.
+/// How long the answer of another daemon may take; a later one counts as lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long the answers to probes are awaited. A call is only sent to a daemon that has answered one: a call on a link that has
 /// just fallen silent would end with an unknown outcome instead of a prompt refusal.
@@ -34,6 +34,8 @@
 const MAX_PROBED: usize = 8;
 /// How long a daemon that has answered is asked again without a probe.
 const HELPER_VALIDITY: Duration = Duration::from_secs(1);
+/// The time without forwarded calls after which the next one is logged.
+const LOG_PAUSE: Duration = Duration::from_secs(5);
 /// The most calls that this daemon makes for others at a time.
 const MAX_OPEN_CALLS: usize = 256;
 
@@ -51,8 +53,8 @@
     inner: Weak<Inner>,
     log: Logger,
     clock: Clock,
-    /// Whether the last call was made by another daemon; changes are logged.
-    is_forwarding: AtomicBool,
+    /// When another daemon answered last, in microseconds of the process clock.
+    answered_at: AtomicU64,
 }
 
 impl fmt::Debug for CallHelpers {
@@ -65,7 +67,7 @@
     /// Makes calls go through other daemons while the key-value service is unreachable from this one.
     pub(super) fn enable_forwarded_calls(&self, cx: &Shared) {
         let (inner, log, clock) = (Arc::downgrade(&self.inner), cx.log.clone(), cx.clock);
-        let helpers = CallHelpers { inner, log, clock, is_forwarding: AtomicBool::new(false) };
+        let helpers = CallHelpers { inner, log, clock, answered_at: AtomicU64::new(0) };
         cx.platform_store().use_forwarder(Arc::new(helpers));
     }
 
@@ -111,10 +113,7 @@
 impl CallForwarder for CallHelpers {
     async fn forward(&self, call: &ForwardedCall) -> Result<Answer> {
         let Some(inner) = self.inner.upgrade() else { return not_sent() };
-        let Some(helper) = self.choose_helper(&inner).await else {
-            self.is_forwarding.store(false, Ordering::Relaxed);
-            return not_sent();
-        };
+        let Some(helper) = self.choose_helper(&inner).await else { return not_sent() };
         let answer = ask(&inner, &helper, call_to_wire(call), ANSWER_TIMEOUT).await;
         self.record(&inner, &helper, &answer);
         answer
@@ -147,11 +146,14 @@
     }
 
     fn record(&self, inner: &Inner, helper: &Name, answer: &Result<Answer>) {
-        *inner.store_calls.last_helper() =
-            answer.is_ok().then(|| (helper.clone(), self.clock.now()));
+        let now = self.clock.now();
+        *inner.store_calls.last_helper() = answer.is_ok().then(|| (helper.clone(), now));
         if let Err(e) = answer {
             debug!(self.log, "forwarded call got no answer"; "peer" => %helper, "error" => %e);
-        } else if !self.is_forwarding.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let last = self.answered_at.swap(now.as_micros(), Ordering::Relaxed);
+        if last == 0 || now.since(Timestamp::from_micros(last)) >= LOG_PAUSE {
             info!(self.log, "calls go through another daemon"; "peer" => %helper);
         }
     }
