Log when followed keys were last read

A daemon that no longer hears of changes could not be told from one without changes: the log counted reads but not their age. The totals now list for each prefix the time since it was last read from the service or a relay.

--- a/crates/borageshed/src/summary.rs
+++ b/crates/borageshed/src/summary.rs
@@ -23,10 +23,17 @@
             .platform_reads()
             .map(|(kind, area, count)| format!("{kind} {area}:{count}"))
             .collect();
+        let copies: Vec<String> = cx
+            .platform_store()
+            .copy_ages()
+            .into_iter()
+            .map(|(prefix, age)| format!("{prefix}:{}ms", age.as_millis()))
+            .collect();
         info!(
             cx.log, "totals since the start";
             "requests_open" => cx.control.open_requests(), "store_calls" => calls.join(","),
             "store_reads" => reads.join(","),
+            "copy_ages" => copies.join(","),
             "store_silent_s" => cx.platform_silent_s(), "lines_dropped" => cx.dropped_lines.count()
         );
     }
