--- a/crates/kv-store/src/budget.rs
+++ b/crates/kv-store/src/budget.rs
@@ -15,6 +15,8 @@
         Range,
         /// Opens a watch; reopening it after a broken connection counts again.
         Watch,
+        /// Checks that the service answers.
+        Probe,
         /// Reads the state of a write after a lost answer.
         ReadBack,
         /// Creates a key.
@@ -40,10 +42,11 @@
 
 impl CallKind {
     /// Every kind.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Get,
         Self::Range,
         Self::Watch,
+        Self::Probe,
         Self::ReadBack,
         Self::Create,
         Self::CompareAndSwap,
@@ -62,6 +65,7 @@
             Self::Get => "get",
             Self::Range => "range",
             Self::Watch => "watch",
+            Self::Probe => "probe",
             Self::ReadBack => "read_back",
             Self::Create => "create",
             Self::CompareAndSwap => "compare_and_swap",
@@ -76,7 +80,7 @@
     }
 
     fn is_read(self) -> bool {
-        matches!(self, Self::Get | Self::Range | Self::Watch | Self::ReadBack)
+        matches!(self, Self::Get | Self::Range | Self::Watch | Self::Probe | Self::ReadBack)
     }
 
     /// Returns whether a call is sent even over budget. Calls that determine the outcome of a write, or renew or end a lease, are:
@@ -84,6 +88,11 @@
     fn is_urgent(self) -> bool {
         matches!(self, Self::ReadBack | Self::WriteAgain | Self::LeaseKeepAlive | Self::LeaseRevoke)
     }
+
+    /// Returns whether the service does not count a call toward its limits.
+    fn is_unlimited(self) -> bool {
+        self == Self::Probe
+    }
 }
 
 /// The calls that one daemon may send.
@@ -153,6 +162,10 @@
     /// Returns the time until the call fits the budget; a refused call is not counted.
     pub fn charge(&mut self, now: Timestamp, kind: CallKind) -> Result<(), Duration> {
         let bucket = if kind.is_read() { &mut self.reads } else { &mut self.writes };
+        if kind.is_unlimited() {
+            *self.counts.entry(kind).or_default() += 1;
+            return Ok(());
+        }
         bucket.refill(now);
         if bucket.available < 1.0 && !kind.is_urgent() {
             self.refused += 1;
