Reset the connection of a request that is given up

A request could reach a target that had left: when a daemon gave a request up during a network partition between the two, it closed the connection in order, and the kernel delivered the held-up request with its next retransmission, seconds after the partition had ended.

A connection whose exchange has not ended is now reset, which discards what the kernel still holds. Connections that are idle or whose answer has ended are closed in order as before.

a_request_that_is_given_up_does_not_reach_its_target_later failed before: the target received the whole request of 1 MiB after the client had given it up.

--- a/crates/http-edge/src/client/answer.rs
+++ b/crates/http-edge/src/client/answer.rs
@@ -59,7 +59,8 @@
     /// Returns the connection to the pool if the next answer on it can't be confused with this one; the pool rejects
     /// connections with surplus bytes.
     fn finish(&mut self) {
-        let Some(conn) = self.conn.take() else { return };
+        let Some(mut conn) = self.conn.take() else { return };
+        conn.in_exchange = false;
         if self.reusable {
             self.inner.return_to_pool(conn);
         }
@@ -87,7 +88,7 @@
                 }
                 Poll::Ready(Ok(0)) => {
                     self.decoder.end_of_input()?;
-                    self.conn = None;
+                    self.finish();
                 }
                 Poll::Ready(Ok(n)) => {
                     conn.buf.extend_from_slice(&chunk[..n]);
--- a/crates/http-edge/src/client/exchange.rs
+++ b/crates/http-edge/src/client/exchange.rs
@@ -56,6 +56,7 @@
     let head = head::format(addr, request_id, &req, framing)
         .map_err(|failure| SendError::not_sent(addr, failure))?;
     let activity = Activity::default();
+    conn.in_exchange = true;
     let mut buf = std::mem::take(&mut conn.buf);
     let result = {
         let write = write_request(&conn.stream, head, body, framing, &activity);
--- a/crates/http-edge/src/client/pool.rs
+++ b/crates/http-edge/src/client/pool.rs
@@ -12,6 +12,7 @@
 use async_std::net::TcpStream;
 use bytes::BytesMut;
 use futures::task::noop_waker_ref;
+use socket2::SockRef;
 
 use super::ConnectionHandle;
 
@@ -23,6 +24,8 @@
     pub(crate) stream: TcpStream,
     pub(crate) buf: BytesMut,
     closed_by_owner: Arc<AtomicBool>,
+    /// Whether an exchange has begun and its answer has not ended.
+    pub(crate) in_exchange: bool,
     /// Time for which the target keeps the connection open while it is idle, if it announced one.
     pub(crate) keep_alive_timeout: Option<Duration>,
 }
@@ -35,6 +38,7 @@
             stream,
             buf: BytesMut::new(),
             closed_by_owner: Arc::new(AtomicBool::new(false)),
+            in_exchange: false,
             keep_alive_timeout: None,
         }
     }
@@ -73,6 +77,11 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.in_exchange {
+            // The kernel would otherwise go on delivering the request, for as long as a network partition lasts and longer, to a
+            // target that may have left meanwhile. A failure leaves that behaviour.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
         // Handles hold clones of the stream, so dropping this one might not close the socket.
         let _ = self.stream.shutdown(std::net::Shutdown::Both);
     }
--- a/crates/http-edge/tests/client.rs
+++ b/crates/http-edge/tests/client.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::io::prelude::ReadExt;
 use async_std::net::TcpListener;
 use async_std::task;
@@ -15,6 +16,7 @@
 };
 use http_edge::framing::BodyError;
 use http_types::{Body, Method, Request, Response, Url};
+use socket2::SockRef;
 
 use util::{LOCAL, Reply, Target, start_target, until, with_timeout};
 
@@ -376,3 +378,25 @@
         std::task::Poll::Pending
     }
 }
+
+/// Guards against a request that reaches its target after the client has given it up.
+#[async_std::test]
+async fn a_request_that_is_given_up_does_not_reach_its_target_later() {
+    const BODY_BYTES: usize = 1 << 20;
+    const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+    // The target does not read while the request is in progress, so most of it stays in the buffers of the client's kernel.
+    let listener = std::net::TcpListener::bind(LOCAL).unwrap();
+    SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let client = client();
+    let req = request(Method::Post, &"x".repeat(BODY_BYTES));
+    let sent = client.send(listener.local_addr().unwrap(), "a", req);
+    assert!(timeout(Duration::from_millis(300), sent).await.is_err(), "no answer");
+    let (mut stream, _) = listener.accept().unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut received = 0;
+    let mut buf = vec![0; 64 << 10];
+    while let Ok(n @ 1..) = std::io::Read::read(&mut stream, &mut buf) {
+        received += n;
+    }
+    assert!(received < BODY_BYTES, "the whole request arrived");
+}
