Claim a job again whose other claim the index never reported

Daemons react to the end of a claim, which the index reports; if the index is not read while a claim is made and lost, it reports neither, and a daemon whose claim had found the other one never tried again. The former owner gave its jobs up when its lease lapsed and relied on the same report.

A claim that finds another one is now repeated after 3 s unless the index reports that claim, and an owner whose lease lapsed claims its jobs again. Claims without a job and claims under an earlier lease are logged.

a_job_whose_other_claim_the_index_never_reported_is_claimed_again fails without the repetition.

--- a/crates/borageshed/src/job_work/claim_plan.rs
+++ b/crates/borageshed/src/job_work/claim_plan.rs
@@ -19,6 +19,10 @@
 /// The delay before a failed claim is tried again.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// When a job is claimed again that another daemon had claimed, although the index has not reported that claim. It is longer than
+/// the index usually takes to report a claim.
+const UNREPORTED_CLAIM_DELAY: Duration = Duration::from_secs(3);
+
 /// The unfinished jobs that this daemon knows and the times of its claims.
 #[derive(Debug)]
 pub struct ClaimPlan {
@@ -163,6 +167,17 @@
         }
     }
 
+    /// Records that a claim found the job claimed by another daemon.
+    ///
+    /// The index reports the end of that claim only if it has reported its start. If it missed both, for example during an
+    /// outage, nobody would claim the job, so it is claimed again after a delay unless the index reports the other claim.
+    pub fn on_claimed_elsewhere(&mut self, now: Timestamp, id: &JobId) {
+        let is_reported = self.other_owner(id).is_some();
+        if !is_reported && self.open.contains_key(id) && !self.running.contains(id) {
+            self.claim_at.entry(id.clone()).or_insert(now + UNREPORTED_CLAIM_DELAY);
+        }
+    }
+
     /// Returns whether the job is known to be unfinished.
     pub fn is_open(&self, id: &JobId) -> bool {
         self.open.contains_key(id)
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -144,7 +144,7 @@
             Event::Lease(LeaseEvent::Lost) => {
                 self.lease = None;
                 let given_up: Vec<JobId> = self.own_jobs.keys().cloned().collect();
-                given_up.into_iter().for_each(|it| self.drop_job(&it, "lease lost"));
+                given_up.into_iter().for_each(|it| self.drop_and_reclaim(&it, "lease lost"));
             }
             Event::Claimed { id, lease, claimed } => self.on_claimed(id, lease, claimed),
             Event::NotClaimed { id } => {
@@ -246,13 +246,20 @@
 
     fn on_claimed(&mut self, id: JobId, lease: LeaseId, claimed: Option<Box<ClaimedJob>>) {
         let is_wanted = self.plan.finish_claim_call(&id);
+        let now = self.cx.clock.now();
         // If nothing was claimed, another daemon claimed the job first or the job has ended.
-        let Some(claimed) = claimed else { return };
+        let Some(claimed) = claimed else {
+            debug!(self.cx.log, "job is claimed by another daemon or has ended"; "job" => id.as_str());
+            self.plan.on_claimed_elsewhere(now, &id);
+            return;
+        };
         if !is_wanted {
             info!(self.cx.log, "job ended while it was claimed"; "job" => id.as_str());
             return;
         }
         if self.lease != Some(lease) || self.own_jobs.contains_key(&id) {
+            info!(self.cx.log, "job claimed under an earlier lease or twice"; "job" => id.as_str(), "lease" => lease.0);
+            self.plan.retry(now, &id);
             return;
         }
         self.claim_count += 1;
@@ -262,7 +269,7 @@
             "job" => id.as_str(), "items" => run.record().total, "listed" => run.record().listed.len(),
             "continued" => checkpoint.items.len()
         );
-        let job = OwnJob::new(self.claim_count, run, checkpoint, self.cx.clock.now());
+        let job = OwnJob::new(self.claim_count, run, checkpoint, now);
         self.plan.mark_running(id.clone());
         self.own_jobs.insert(id, job);
     }
@@ -397,7 +404,8 @@
         }
     }
 
-    /// Stops running a job whose record has changed or may have changed, and schedules another claim, which reads the job.
+    /// Stops running a job whose record or claim has changed or may have changed, and schedules another claim, which reads the
+    /// job.
     ///
     /// The stored claim is kept: its removal could fail in the same outage that hid the outcome of the transaction, and the job
     /// would then stay claimed without being run.
--- a/crates/borageshed/tests/claim_plan.rs
+++ b/crates/borageshed/tests/claim_plan.rs
@@ -152,6 +152,24 @@
     assert_eq!(due(&mut plan, 60_100), [("job-1".to_owned(), false)]);
 }
 
+/// Guards against a job that nobody claims because the index reported neither the start nor the end of another daemon's claim.
+#[test]
+fn a_job_whose_other_claim_the_index_never_reported_is_claimed_again() {
+    let runners = runners(4);
+    let mut plan = preferred_owner_plan("job-1", &runners);
+    let (job_id, job) = open("job-1");
+    plan.on_change(at(0), IndexChange::Opened(job_id.clone(), job), &runners);
+    assert_eq!(due(&mut plan, 100), [("job-1".to_owned(), false)]);
+    plan.finish_claim_call(&job_id);
+    plan.on_claimed_elsewhere(at(110), &job_id);
+    assert_eq!(due(&mut plan, 1_000), [], "the index may still report the claim");
+    assert_eq!(due(&mut plan, 5_000), [("job-1".to_owned(), false)]);
+    plan.finish_claim_call(&job_id);
+    plan.on_claimed_elsewhere(at(5_010), &job_id);
+    plan.on_change(at(5_500), IndexChange::Claimed(job_id.clone(), "other".into()), &runners);
+    assert_eq!(due(&mut plan, 60_000), [], "the index will report the end of the claim");
+}
+
 /// Guards against a restarted daemon that leaves the jobs of its previous incarnation waiting until that lease lapses.
 #[test]
 fn a_job_that_is_still_claimed_under_the_own_name_is_claimed_at_once() {
