Refuse prompt parts that crash the targets which begin to answer on them

Requests that share one part of a prompt crashed target after target, and callers in flight there lost their answers: a request was known by its path, caller and body alone, so requests with the same part were strangers to each other.

Crashes now count for each part that a request shares: a part is a suspect if it was in flight without output on a target that crashed, the first event of a later attempt anywhere clears it, and three crashes on different targets at different times condemn it, the most specific part first. Only a refused connection counts as a crash, so a network partition proves nothing. Instances share crashes, verdicts and output; verdicts are stored under a lease, so that a restart forgets none. They expire after 20 to 60 s, then one request tries the part again. Callers get 503 with the time left; batch items wait.

--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -154,6 +154,7 @@
         max_attempts: route.max_attempts,
         resumption,
         prefix: hints.shared_prefix.filter(|_| route.affinity),
+        shared_parts: hints.shared_parts,
         message: Arc::new(message),
     }
 }
--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -104,6 +104,7 @@
         resumable: false,
         max_attempts: u32::MAX,
         prefix: None,
+        shared_parts: Vec::new(),
         fingerprint: [0; 32],
     };
     let admission = cx.control.submit(request, Some(identity.account.id));
--- a/crates/borageshed/src/batch_work/prepare.rs
+++ b/crates/borageshed/src/batch_work/prepare.rs
@@ -81,6 +81,7 @@
             max_attempts: UNLIMITED_ATTEMPTS,
             resumption: Resumption::SameTarget,
             prefix: Some(prepared.prefix),
+            shared_parts: Vec::new(),
             message: Arc::new(message),
         });
     }
@@ -108,6 +109,7 @@
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::SameTarget,
         prefix: None,
+        shared_parts: Vec::new(),
         message: Arc::new(Message { method, path, headers, body }),
     })
 }
--- a/crates/borageshed/src/control/effect.rs
+++ b/crates/borageshed/src/control/effect.rs
@@ -1,8 +1,10 @@
 //! I/O that the control thread leaves to other tasks, because it does none itself.
 
+use std::time::Duration;
+
 use fleet::QualifiedName;
 use policy::{
-    dispatch::{Claim, Fingerprint, Suspicion},
+    dispatch::{Claim, Fingerprint, PartId, Suspicion},
     rate::RateMessage,
     slots::SlotAction,
 };
@@ -46,6 +48,27 @@
         },
         /// Report to peers that a target died while it ran a request.
         ShareSuspicion(Suspicion),
+        /// Tell peers that a target crashed on which a request with these prompt parts was in flight without any output.
+        SharePartCrash {
+            /// The name of the target.
+            target: Name,
+            /// The parts, in the order of the prompt.
+            parts: Vec<PartId>,
+        },
+        /// Tell peers and the key-value service that a prompt part crashes targets.
+        SharePartVerdict {
+            /// The part.
+            part: PartId,
+            /// The least time for which the part is refused.
+            lifetime: Duration,
+        },
+        /// Tell peers that targets answer on prompt parts that were suspects or condemned.
+        ShareClearedParts(Vec<PartId>),
+        /// Remove a verdict on a prompt part from the key-value service.
+        LiftPartVerdict {
+            /// The part.
+            part: PartId,
+        },
         /// Report to peers on which target a suspect is to run, runs or no longer runs.
         ShareClaim {
             /// The peer; `None` for all.
--- a/crates/borageshed/src/control/handle.rs
+++ b/crates/borageshed/src/control/handle.rs
@@ -116,6 +116,11 @@
         self.report(Event::FirstByte { id: self.id });
     }
 
+    /// Reports that the first output of the attempt arrived.
+    pub fn output_begun(&self) {
+        self.report(Event::OutputBegun { id: self.id });
+    }
+
     /// Reports that an attempt failed before any byte was sent; a directive follows.
     pub fn failed_before_send(&self) {
         self.report(Event::FailedBeforeSend { id: self.id });
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -460,6 +460,18 @@
                 Action::ShareSuspicion(suspicion) => {
                     self.send_effect(Effect::ShareSuspicion(suspicion))
                 }
+                Action::SharePartCrash { target, parts } => {
+                    self.send_effect(Effect::SharePartCrash { target, parts })
+                }
+                Action::SharePartVerdict { part, lifetime } => {
+                    self.send_effect(Effect::SharePartVerdict { part, lifetime })
+                }
+                Action::ShareClearedParts(parts) => {
+                    self.send_effect(Effect::ShareClearedParts(parts))
+                }
+                Action::LiftPartVerdict { part } => {
+                    self.send_effect(Effect::LiftPartVerdict { part })
+                }
                 Action::ShareClaim { to, claim } => {
                     self.send_effect(Effect::ShareClaim { to, claim })
                 }
--- a/crates/borageshed/src/effects.rs
+++ b/crates/borageshed/src/effects.rs
@@ -7,7 +7,7 @@
 use http_types::{Method, Request, Url};
 use kv_store::{Entry, Outcome, Revision};
 use policy::{
-    dispatch::{Event, Fingerprint},
+    dispatch::{Event, Fingerprint, MAX_LIFETIME_FACTOR, PartId},
     slots::{SlotAction, SlotOutcome, SlotRecord, StoreRevision, StoredSlot},
 };
 use slog::{debug, info, warn};
@@ -32,6 +32,8 @@
 pub const SLOTS_PREFIX: &str = "slots/";
 /// The prefix of the poison verdicts.
 pub const POISON_PREFIX: &str = "poison/";
+/// What distinguishes the keys of verdicts on prompt parts from those of verdicts on requests.
+const PART_KEY: &str = "part/";
 
 /// Performs effects until the control thread ends.
 pub async fn run(cx: Arc<Shared>, peers: Peers, effects: async_channel::Receiver<Effect>) {
@@ -60,6 +62,26 @@
                     "fingerprint" => hex::encode(suspicion.fingerprint));
                 peers.broadcast_suspicion(&suspicion);
             }
+            Effect::SharePartCrash { target, parts } => {
+                info!(cx.log, "target crashed before it answered on these prompt parts"; "target" => %target,
+                    "parts" => parts.iter().map(part_digits).collect::<Vec<_>>().join(","));
+                peers.broadcast_part_crash(&target, &parts);
+            }
+            Effect::SharePartVerdict { part, lifetime } => {
+                warn!(cx.log, "prompt part crashes targets and is refused"; "part" => part_digits(&part),
+                    "lifetime_s" => lifetime.as_secs());
+                peers.broadcast_part_verdict(part, lifetime);
+                task::spawn(store_part_verdict(Arc::clone(&cx), part, lifetime));
+            }
+            Effect::ShareClearedParts(parts) => {
+                debug!(cx.log, "targets answer on suspect prompt parts";
+                    "parts" => parts.iter().map(part_digits).collect::<Vec<_>>().join(","));
+                peers.broadcast_cleared_parts(&parts);
+            }
+            Effect::LiftPartVerdict { part } => {
+                warn!(cx.log, "prompt part no longer crashes targets"; "part" => part_digits(&part));
+                task::spawn(remove_part_verdict(Arc::clone(&cx), part));
+            }
             Effect::ShareClaim { to, claim } => {
                 debug!(cx.log, "claim on the run of a suspect request sent"; "target" => %claim.target, "state" => ?claim.state,
                     "fingerprint" => hex::encode(claim.fingerprint));
@@ -117,6 +139,40 @@
     }
 }
 
+/// Stores a verdict on a prompt part for the longest time that an instance refuses the part.
+async fn store_part_verdict(cx: Arc<Shared>, part: PartId, lifetime: Duration) {
+    let value = lifetime.as_millis().to_string();
+    let stored = async {
+        let lease = cx.store.lease_grant(lifetime.mul_f64(MAX_LIFETIME_FACTOR)).await?;
+        cx.store.put_with_lease(&part_verdict_key(part), value.as_bytes(), lease).await
+    };
+    match stored.await {
+        Ok(Outcome::Won(_)) => cx.platform_answered(),
+        Ok(outcome) => {
+            warn!(cx.log, "unknown whether the verdict on a prompt part was stored"; "outcome" => ?outcome)
+        }
+        Err(e) => warn!(cx.log, "verdict on a prompt part not stored"; "error" => %e),
+    }
+}
+
+async fn remove_part_verdict(cx: Arc<Shared>, part: PartId) {
+    match cx.store.delete(&part_verdict_key(part), None).await {
+        Ok(Outcome::Won(_)) => cx.platform_answered(),
+        Ok(outcome) => {
+            debug!(cx.log, "verdict on a prompt part not removed"; "outcome" => ?outcome)
+        }
+        Err(e) => warn!(cx.log, "verdict on a prompt part not removed"; "error" => %e),
+    }
+}
+
+fn part_verdict_key(part: PartId) -> String {
+    format!("{POISON_PREFIX}{PART_KEY}{}", part_digits(&part))
+}
+
+fn part_digits(part: &PartId) -> String {
+    format!("{:016x}", part.0)
+}
+
 fn verdict_key(fingerprint: &Fingerprint) -> String {
     format!("{POISON_PREFIX}{}", hex::encode(fingerprint))
 }
@@ -127,9 +183,8 @@
     loop {
         match cx.platform_store().shared_entries(POISON_PREFIX, SHARED_READ_TIMEOUT).await {
             Ok(entries) => {
-                let digits = entries.iter().filter_map(|it| it.key.strip_prefix(POISON_PREFIX));
-                for fingerprint in digits.filter_map(parse_fingerprint) {
-                    cx.control.send(ControlEvent::Dispatch(Event::PoisonVerdict { fingerprint }));
+                for event in entries.iter().filter_map(decode_verdict) {
+                    cx.control.send(ControlEvent::Dispatch(event));
                 }
                 return;
             }
@@ -139,8 +194,15 @@
     }
 }
 
-fn parse_fingerprint(digits: &str) -> Option<Fingerprint> {
-    hex::decode(digits).ok()?.try_into().ok()
+/// Decodes a stored verdict on a request or on a prompt part.
+fn decode_verdict(entry: &Entry) -> Option<Event> {
+    let key = entry.key.strip_prefix(POISON_PREFIX)?;
+    let Some(part) = key.strip_prefix(PART_KEY) else {
+        return Some(Event::PoisonVerdict { fingerprint: hex::decode(key).ok()?.try_into().ok()? });
+    };
+    let part = PartId(u64::from_str_radix(part, 16).ok()?);
+    let lifetime = std::str::from_utf8(&entry.value).ok()?.parse().ok()?;
+    Some(Event::PartVerdict { part, lifetime: Duration::from_millis(lifetime) })
 }
 
 async fn perform_slot_action(cx: Arc<Shared>, action: SlotAction) {
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -262,7 +262,7 @@
     let mut buf = vec![0; BUFFER_BYTES];
     let mut directives = Box::pin(admission.next());
     let (mut events, mut last_event_at) = (output.lock().event_count(), cx.clock.now());
-    let mut meter = EventGapMeter::default();
+    let (mut meter, mut has_output) = (EventGapMeter::default(), false);
     loop {
         let left = EVENT_TIMEOUT.saturating_sub(cx.clock.now().since(last_event_at));
         if left.is_zero() {
@@ -290,6 +290,9 @@
         }
         let event_count = output.lock().event_count();
         if event_count > events {
+            if !std::mem::replace(&mut has_output, true) {
+                admission.output_begun();
+            }
             (events, last_event_at) = (event_count, cx.clock.now());
             protocol::report_event_gap(cx, call, target, &mut meter, events);
         }
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -18,7 +18,7 @@
 use super::{
     Call, finish_refused,
     forwarder::{self, AnswerForwarder},
-    protocol,
+    protocol::{self, Liveness},
 };
 use crate::{
     answer::set_body,
@@ -173,19 +173,20 @@
 
 /// Returns the cause of a failure after sending.
 ///
-/// If the connection to a registered target was lost, checks whether the target still accepts connections; if so, only the
-/// answer was lost.
+/// If the connection to a registered target was lost, checks whether the target still accepts connections: if so, only the
+/// answer was lost; if they are refused, the target has ended. Without an answer to the check, both are possible.
 pub(crate) async fn diagnose_failure(
     cx: &Shared,
     address: SocketAddr,
     failure: Option<&Failure>,
 ) -> FailureCause {
     match failure_cause(failure) {
-        FailureCause::ConnectionLost
-            if cx.settings.source == FleetSource::Operator
-                && protocol::is_alive(cx, address).await =>
-        {
-            FailureCause::AnswerLost
+        FailureCause::ConnectionLost if cx.settings.source == FleetSource::Operator => {
+            match protocol::check_liveness(cx, address).await {
+                Liveness::Alive => FailureCause::AnswerLost,
+                Liveness::Ended => FailureCause::Crashed,
+                Liveness::Unknown => FailureCause::ConnectionLost,
+            }
         }
         cause => cause,
     }
--- a/crates/borageshed/src/online/call.rs
+++ b/crates/borageshed/src/online/call.rs
@@ -6,11 +6,12 @@
 use http_edge::raw_target::RawTarget;
 use http_types::{Body, Method, Request, Url, headers::HeaderValue};
 use policy::{
-    dispatch::{self, Class, Fingerprint},
+    dispatch::{self, Class, Fingerprint, PartId},
     rate::AccountId,
 };
 use sha2::{Digest, Sha256};
 use stdx::{Name, Timestamp};
+use twox_hash::XxHash64;
 
 /// The number of attempts for requests that are limited only by the retry budget and their deadline.
 pub const UNLIMITED_ATTEMPTS: u32 = u32::MAX;
@@ -46,6 +47,8 @@
     pub resumption: Resumption,
     /// The hash of the prompt prefix.
     pub prefix: Option<u64>,
+    /// The hashes of the prompt parts that other requests may share, in the order of the prompt.
+    pub shared_parts: Vec<u64>,
     /// The message for the target.
     pub message: Arc<Message>,
 }
@@ -95,10 +98,16 @@
             resumable: matches!(self.resumption, Resumption::AnyTarget { .. }),
             max_attempts: self.max_attempts,
             prefix: self.prefix,
+            shared_parts: self.shared_parts.iter().map(|it| self.part_id(*it)).collect(),
             fingerprint: self.fingerprint(),
         }
     }
 
+    /// Returns the identity of a prompt part within the service; the same part may be harmless to the targets of another one.
+    fn part_id(&self, part: u64) -> PartId {
+        PartId(XxHash64::oneshot(part, self.service.to_string().as_bytes()))
+    }
+
     /// Returns the id of the last event that the caller already has, if it continues a stream.
     pub fn last_event(&self) -> Option<u64> {
         match self.resumption {
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -124,10 +124,15 @@
         let mut splitter = EventSplitter::default();
         let (mut meter, mut is_resumed) = (EventGapMeter::default(), false);
         let mut resumes = 0;
+        let mut events_before = 0;
         let mut buf = vec![0; MAX_PIECE_BYTES];
         loop {
             match self.read_events(&mut res, &mut buf, &mut splitter).await {
                 EventRead::Whole(whole) => {
+                    if !whole.is_empty() && splitter.event_count() > events_before {
+                        self.admission.output_begun();
+                        events_before = u64::MAX;
+                    }
                     // After a resumption on any target, `self.target` may not be the target that sends the stream.
                     if !is_resumed {
                         protocol::report_event_gap(
@@ -168,7 +173,10 @@
                         }
                     };
                     match resumed {
-                        ResumeOutcome::Continued(next) => res = *next,
+                        ResumeOutcome::Continued(next) => {
+                            events_before = splitter.event_count();
+                            res = *next;
+                        }
                         ResumeOutcome::Failed => {
                             self.deliver_error_event(&tx).await;
                             return self.fail(&tx, e).await;
--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -2,9 +2,10 @@
 //!
 //! Only registered targets exchange any; targets of the fleet document do not.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use fleet::QualifiedName;
+use http_edge::client::Failure;
 use http_types::{Request, Response};
 use platform::egress::{self, AnswerMetadata, NotRun, RequestMetadata};
 use policy::dispatch::{Event, NotRunCause};
@@ -106,8 +107,25 @@
 /// How long a connection attempt may take that only checks whether a target is alive.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Returns whether a target whose connection broke still accepts connections.
-pub async fn is_alive(cx: &Shared, address: SocketAddr) -> bool {
-    let check = cx.client.accepts_connections(address);
-    async_std::future::timeout(LIVENESS_CHECK_TIMEOUT, check).await.unwrap_or(false)
+/// What a new connection shows about a target whose connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// The target accepts connections.
+    Alive,
+    /// The instance of the target answers, and nothing listens at the address.
+    Ended,
+    /// There is no answer, as behind a network partition.
+    Unknown,
+}
+
+/// Checks whether a target whose connection broke still accepts connections.
+pub async fn check_liveness(cx: &Shared, address: SocketAddr) -> Liveness {
+    let check = cx.client.check_connection(address);
+    match async_std::future::timeout(LIVENESS_CHECK_TIMEOUT, check).await {
+        Ok(Ok(())) => Liveness::Alive,
+        Ok(Err(Failure::Connect(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset))) => {
+            Liveness::Ended
+        }
+        Ok(Err(_)) | Err(_) => Liveness::Unknown,
+    }
 }
--- a/crates/borageshed/src/online/refusal.rs
+++ b/crates/borageshed/src/online/refusal.rs
@@ -24,6 +24,10 @@
         }
         Reason::NoTarget => (ProblemKind::Overloaded, "no target of the service takes work"),
         Reason::Poison => (ProblemKind::PoisonRequest, "targets died while they ran this request"),
+        Reason::PoisonPart => (
+            ProblemKind::Overloaded,
+            "targets crashed while they ran requests with a part of the prompt",
+        ),
         Reason::KeyWithdrawn => (ProblemKind::Unauthenticated, "the key was withdrawn"),
         Reason::RetryBudget => {
             (ProblemKind::TargetFailed, "the attempt failed and the retry budget is spent")
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -31,11 +31,12 @@
 use bytes::Bytes;
 use overlay::{Frame, LoadReports, Member, Report, Role, RoutingAction};
 use peer::{
-    Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled, JobRequest, Leaving,
-    LinkRole, Loads, Message, PeerEvent, PoisonVerdict, SendError, message,
+    ClearedParts, Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled, JobRequest,
+    Leaving, LinkRole, Loads, Message, PartCrash, PartVerdict, PeerEvent, PoisonVerdict, SendError,
+    message,
 };
 use policy::{
-    dispatch::{Claim, Event, Fingerprint, Suspicion},
+    dispatch::{Claim, Event, Fingerprint, PartId, Suspicion},
     rate::RateMessage,
 };
 use slog::{debug, info, warn};
@@ -220,6 +221,24 @@
         self.send(None, &suspects::suspicion_to_wire(suspicion));
     }
 
+    /// Tells every peer that a target crashed on which a request with these prompt parts was in flight without any output.
+    pub fn broadcast_part_crash(&self, target: &Name, parts: &[PartId]) {
+        let parts = parts.iter().map(|it| it.0).collect();
+        self.send(None, &Message::PartCrash(PartCrash { target: target.to_string(), parts }));
+    }
+
+    /// Tells every peer that requests with a prompt part must not run.
+    pub fn broadcast_part_verdict(&self, part: PartId, lifetime: Duration) {
+        let lifetime_ms = u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX);
+        self.send(None, &Message::PartVerdict(PartVerdict { part: part.0, lifetime_ms }));
+    }
+
+    /// Tells every peer that targets answer on prompt parts that were suspects or condemned.
+    pub fn broadcast_cleared_parts(&self, parts: &[PartId]) {
+        let parts = parts.iter().map(|it| it.0).collect();
+        self.send(None, &Message::ClearedParts(ClearedParts { parts }));
+    }
+
     /// Tells a peer, or every peer, on which target a suspect request will run, runs or has ended.
     pub fn send_claim(&self, to: Option<&Name>, claim: &Claim) {
         self.send(to, &suspects::claim_to_wire(claim));
@@ -356,6 +375,10 @@
     }
 }
 
+fn part_ids(parts: Vec<u64>) -> Vec<PartId> {
+    parts.into_iter().map(PartId).collect()
+}
+
 fn handle(cx: &Shared, peers: &Peers, from: Name, message: Message) {
     match message {
         Message::Heartbeat(heartbeat) => on_heartbeat(cx, peers, &from, &heartbeat),
@@ -372,6 +395,17 @@
                 cx.control.send(ControlEvent::Dispatch(Event::PoisonSuspicion(suspicion)));
             }
         }
+        Message::PartCrash(PartCrash { target, parts }) => {
+            let (target, parts) = (Name::from(target), part_ids(parts));
+            cx.control.send(ControlEvent::Dispatch(Event::PartCrash { target, parts }));
+        }
+        Message::PartVerdict(PartVerdict { part, lifetime_ms }) => {
+            let (part, lifetime) = (PartId(part), Duration::from_millis(lifetime_ms.into()));
+            cx.control.send(ControlEvent::Dispatch(Event::PartVerdict { part, lifetime }));
+        }
+        Message::ClearedParts(ClearedParts { parts }) => {
+            cx.control.send(ControlEvent::Dispatch(Event::ClearedParts(part_ids(parts))));
+        }
         Message::SuspectClaim(claim) => {
             if let Some(claim) = suspects::claim_from_wire(&claim) {
                 cx.control.send(ControlEvent::Dispatch(Event::SuspectClaim { peer: from, claim }));
--- a/crates/http-edge/src/client/mod.rs
+++ b/crates/http-edge/src/client/mod.rs
@@ -193,9 +193,13 @@
         exchange::run(&self.inner, conn, false, request_id, req).await
     }
 
-    /// Returns whether a target accepts a connection.
-    pub async fn accepts_connections(&self, addr: SocketAddr) -> bool {
-        self.inner.connect(addr).await.is_ok()
+    /// Opens a connection to a target and closes it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection cannot be opened in time.
+    pub async fn check_connection(&self, addr: SocketAddr) -> Result<(), Failure> {
+        self.inner.connect(addr).await.map(drop).map_err(|it| it.failure)
     }
 
     /// Closes the idle connections to a target that were opened before `older_than` and returns their number.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,10 +14,10 @@
 
 pub use hub::{DownReason, Hub, HubConfig, Peer, PeerEvent, SendError};
 pub use message::{
-    ClosedLoan, ConfigChunk, ConfigFetch, Flood, Forward, Heartbeat, Hello, JobAccepted, JobAnswer,
-    JobCancelled, JobRequest, JobStatus, Leaving, LinkRole, LoadPart, Loads, LoanGrant,
-    LoanRequest, LoanReturn, Message, PoisonSuspicion, PoisonVerdict, ReadAnswer, ReadRequest,
-    ReadStatus, StoreCall, StoreCallAnswer, StoreCallOutcome, StoreMethod, StoredItem,
-    SuspectClaim, SuspectState,
+    ClearedParts, ClosedLoan, ConfigChunk, ConfigFetch, Flood, Forward, Heartbeat, Hello,
+    JobAccepted, JobAnswer, JobCancelled, JobRequest, JobStatus, Leaving, LinkRole, LoadPart,
+    Loads, LoanGrant, LoanRequest, LoanReturn, Message, PartCrash, PartVerdict, PoisonSuspicion,
+    PoisonVerdict, ReadAnswer, ReadRequest, ReadStatus, StoreCall, StoreCallAnswer,
+    StoreCallOutcome, StoreMethod, StoredItem, SuspectClaim, SuspectState,
 };
 pub use stats::Stats;
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -28,7 +28,10 @@
 pub use links::{Flood, Forward, Hello, Leaving, LinkRole};
 pub use loads::{Heartbeat, LoadPart, Loads};
 pub use loans::{ClosedLoan, LoanGrant, LoanRequest, LoanReturn};
-pub use poison::{PoisonSuspicion, PoisonVerdict, SuspectClaim, SuspectState};
+pub use poison::{
+    ClearedParts, PartCrash, PartVerdict, PoisonSuspicion, PoisonVerdict, SuspectClaim,
+    SuspectState,
+};
 pub use reads::{ReadAnswer, ReadRequest, ReadStatus, StoredItem};
 
 /// The largest frame, in bytes; a configuration chunk takes at most half of it.
@@ -112,13 +115,22 @@
     /// Answers a call to the key-value service.
     #[prost(message, tag = "24")]
     StoreCallAnswer(StoreCallAnswer),
+    /// Reports the crash of a target under requests with these prompt parts.
+    #[prost(message, tag = "25")]
+    PartCrash(PartCrash),
+    /// Reports that requests with a prompt part must not run.
+    #[prost(message, tag = "26")]
+    PartVerdict(PartVerdict),
+    /// Reports that targets answer on prompt parts.
+    #[prost(message, tag = "27")]
+    ClearedParts(ClearedParts),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27"
     )]
     message: Option<Message>,
 }
--- a/crates/peer/src/message/poison.rs
+++ b/crates/peer/src/message/poison.rs
@@ -27,6 +27,36 @@
     pub target: String,
 }
 
+/// Reports that a target crashed on which a request with these prompt parts was in flight without any output.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartCrash {
+    /// The name of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The hashes of the parts, in the order of the prompt.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: Vec<u64>,
+}
+
+/// Reports that requests with a prompt part must not run.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartVerdict {
+    /// The hash of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// The least time for which the part is refused, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub lifetime_ms: u32,
+}
+
+/// Reports that targets answer on prompt parts that were suspects or condemned.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ClearedParts {
+    /// The hashes of the parts.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: Vec<u64>,
+}
+
 /// Reports the target on which a suspect is to run, runs or no longer runs.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SuspectClaim {
--- a/crates/policy/examples/dispatch-experiment/cost.rs
+++ b/crates/policy/examples/dispatch-experiment/cost.rs
@@ -117,6 +117,7 @@
         max_attempts: u32::MAX,
         large_reserve_until: Timestamp::ZERO,
         prefix: Some(id % 64),
+        shared_parts: Vec::new(),
         fingerprint,
     }
 }
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -351,6 +351,7 @@
             max_attempts: u32::MAX,
             large_reserve_until: Timestamp::ZERO,
             prefix: None,
+            shared_parts: Vec::new(),
             fingerprint,
         }
     }
@@ -432,6 +433,10 @@
                 | Action::RepeatVerdict { .. }
                 | Action::LiftVerdict { .. }
                 | Action::ShareSuspicion(_)
+                | Action::SharePartCrash { .. }
+                | Action::SharePartVerdict { .. }
+                | Action::ShareClearedParts(_)
+                | Action::LiftPartVerdict { .. }
                 | Action::ShareClaim { .. } => {}
             }
         }
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -13,6 +13,7 @@
     health::{HealthEvent, HealthState},
     leaving::LeavingTargets,
     poison::{AttemptEnd, PoisonTable},
+    prompt_parts::PartTable,
     request::{Action, Class, Execution, Fingerprint, Reason, Refusal, Request},
     service::{HeldRequest, Phase, Service},
     settings::Settings,
@@ -30,6 +31,7 @@
     pub(super) services: IndexMap<QualifiedName, Service>,
     pub(super) requests: IndexMap<u64, HeldRequest>,
     pub(super) poison: PoisonTable,
+    pub(super) parts: PartTable,
     pub(super) claims: ClaimTable,
     /// The peers with an open link, whether or not their heartbeats are understood.
     pub(super) linked_peers: BTreeSet<Name>,
@@ -92,6 +94,7 @@
             services: IndexMap::new(),
             requests: IndexMap::new(),
             poison: PoisonTable::default(),
+            parts: PartTable::default(),
             claims: ClaimTable::default(),
             linked_peers: BTreeSet::new(),
             pending_repeats: Vec::new(),
@@ -120,11 +123,15 @@
         if let Some(expires) = self.poison.verdict(&request.fingerprint, now) {
             return vec![refuse(id, Reason::Poison, Execution::NotRun, expires.since(now))];
         }
+        if let Some(retry_after) = self.parts.admit(now, id, &request.shared_parts) {
+            return vec![refuse(id, Reason::PoisonPart, Execution::NotRun, retry_after)];
+        }
         let class = request.class;
         let queue = &self.services[service].class_state(class).queue;
         let cost_ahead = queue.cost_ahead(&request.account, request.weight);
         let wait = self.services[service].wait_model(&self.settings, now).behind(cost_ahead);
         if let Some(reason) = self.make_room(service, &request) {
+            self.parts.end_trial(id);
             return vec![refuse(id, reason, Execution::NotRun, clamp_retry_after(wait))];
         }
         let deadline = request.deadline;
@@ -151,6 +158,7 @@
                 }
             }
             Event::FirstByte { id } => self.on_first_byte(now, id),
+            Event::OutputBegun { id } => self.on_output_begun(id),
             Event::Completed { id, tokens } => self.on_completed(now, id, tokens),
             Event::FailedBeforeSend { id } => self.on_failed_before_send(now, id),
             Event::FailedAfterSend { id, cause } => self.on_failed_after_send(now, id, cause),
@@ -194,6 +202,9 @@
                     self.refuse_fingerprint(now, &fingerprint);
                 }
             }
+            Event::PartCrash { target, parts } => self.on_part_crash(now, &target, &parts),
+            Event::PartVerdict { part, lifetime } => self.on_part_verdict(now, part, lifetime),
+            Event::ClearedParts(parts) => self.parts.clear(&parts),
             Event::PoisonSuspicion(suspicion) => self.on_suspicion(now, &suspicion),
             Event::SuspectClaim { peer, claim } => self.on_claim(now, peer, &claim),
             Event::AdmittingInstances(instances) => {
@@ -309,6 +320,7 @@
     /// Removes a request that is not in flight.
     pub(super) fn remove_waiting(&mut self, id: u64) -> Option<HeldRequest> {
         let held = self.requests.swap_remove(&id)?;
+        self.parts.end_trial(id);
         self.end_claim(&held.request.fingerprint, id);
         let service = &mut self.services[held.service];
         match held.phase {
@@ -328,7 +340,7 @@
     }
 
     /// Refuses all requests that match, and cancels those of them that are in flight.
-    fn refuse_matching(
+    pub(super) fn refuse_matching(
         &mut self,
         now: Timestamp,
         reason: Reason,
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -5,7 +5,10 @@
 use fleet::{QualifiedName, Service};
 use stdx::{Name, record_type, value_type};
 
-use super::request::{Claim, Fingerprint, Suspicion};
+use super::{
+    prompt_parts::PartId,
+    request::{Claim, Fingerprint, Suspicion},
+};
 
 record_type! {
     /// Something that happened to a request, a target or a peer.
@@ -23,6 +26,11 @@
             /// The request.
             id: u64,
         },
+        /// The first output of the current attempt arrived, such as the first whole event of a stream.
+        OutputBegun {
+            /// The request.
+            id: u64,
+        },
         /// The whole answer arrived.
         Completed {
             /// The request.
@@ -119,6 +127,22 @@
             /// The fingerprint of the poison request.
             fingerprint: Fingerprint,
         },
+        /// A peer saw a target crash on which a request with these prompt parts was in flight without any output.
+        PartCrash {
+            /// The name of the target.
+            target: Name,
+            /// The parts, in the order of the prompt.
+            parts: Vec<PartId>,
+        },
+        /// A verdict on a prompt part arrived from a peer or the key-value service.
+        PartVerdict {
+            /// The part.
+            part: PartId,
+            /// The least time for which the part is refused.
+            lifetime: Duration,
+        },
+        /// Targets of a peer answer on prompt parts that were suspects or condemned.
+        ClearedParts(Vec<PartId>),
         /// A peer saw a target die.
         PoisonSuspicion(Suspicion),
         /// A peer claims a run of a suspect.
@@ -153,6 +177,8 @@
     pub enum FailureCause {
         /// The connection broke, so that a request in flight may have crashed the target.
         ConnectionLost,
+        /// The connection broke and nothing listens at the address of the target any more, so the target has ended.
+        Crashed,
         /// The connection broke, but the target accepts new ones, so that it has not died.
         AnswerLost,
         /// The target did not answer in time, or its answer violated the protocol.
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -14,7 +14,9 @@
 //! - `pace`: the streaming speed of targets, relative to the others of their service.
 //! - `target_subset`: the targets that an instance prefers where many instances share them.
 //! - `placement`: assigns waiting requests to targets and stops batch requests for online requests.
+//! - `part_evidence`: crashes and output as evidence about prompt parts, shared with peers.
 //! - `poison`: suspicion and verdicts by fingerprint.
+//! - `prompt_parts`: suspicion and verdicts by the parts of a prompt that requests share.
 //! - `service`: the state of one service.
 //! - `target`: load and limits of one target.
 //! - `suspects`: the messages about suspects between this instance and its peers.
@@ -33,9 +35,11 @@
 mod leaving;
 mod outcome;
 mod pace;
+mod part_evidence;
 mod periodic;
 mod placement;
 mod poison;
+mod prompt_parts;
 mod service;
 mod suspects;
 mod target;
@@ -44,6 +48,7 @@
 pub use dispatcher::{Dispatcher, Snapshot};
 pub use event::{Event, FailureCause, NotRunCause, PeerLoad, TargetInfo, target_infos};
 pub use health::HealthState;
+pub use prompt_parts::{MAX_LIFETIME_FACTOR, PartId};
 pub use request::{
     Action, Claim, ClaimState, Class, Execution, Fingerprint, Reason, Refusal, Request, Suspicion,
 };
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -39,6 +39,7 @@
     }
 
     pub(super) fn on_completed(&mut self, now: Timestamp, id: u64, tokens: Option<u64>) {
+        self.on_output_begun(id);
         let Some(released) = self.release(now, id, AttemptEnd::Completed) else { return };
         let held = self.requests.swap_remove(&id).expect("a released request is held");
         let service = &mut self.services[released.service];
@@ -66,20 +67,32 @@
         let target = &self.services[service].targets[&target];
         let is_leaving = !target.listed || target.health.state() == HealthState::Leaving;
         let (end, event) = match cause {
-            FailureCause::ConnectionLost if is_leaving => {
+            FailureCause::ConnectionLost | FailureCause::Crashed if is_leaving => {
                 (AttemptEnd::LeavingTargetDied, Some(HealthEvent::Death))
             }
-            FailureCause::ConnectionLost => (AttemptEnd::TargetDied, Some(HealthEvent::Death)),
+            FailureCause::ConnectionLost | FailureCause::Crashed => {
+                (AttemptEnd::TargetDied, Some(HealthEvent::Death))
+            }
             FailureCause::BadAnswer | FailureCause::Drained => {
                 (AttemptEnd::Neutral, Some(HealthEvent::Failure))
             }
             // The target accepts connections, so it has not died, and its other answers may still arrive.
             FailureCause::AnswerLost => (AttemptEnd::Neutral, None),
         };
+        let suspect_parts = match cause {
+            FailureCause::Crashed if !is_leaving => self.suspect_parts(id),
+            _ => Vec::new(),
+        };
         let Some(released) = self.release(now, id, end) else { return };
         if let Some(event) = event {
             self.apply_health_event(now, released.service, &released.target, event);
         }
+        self.report_part_crash(now, &released.target, suspect_parts);
+        if !self.requests.contains_key(&id) {
+            // The verdict on a part has refused this request as well.
+            self.schedule(now, released.service);
+            return;
+        }
         // Retries after a drain are not taken from the retry budget: a drain interrupts each request at most once, so they
         // cannot multiply.
         self.retry(now, id, &released, cause != FailureCause::Drained && !is_leaving);
--- a/crates/policy/src/dispatch/periodic.rs
+++ b/crates/policy/src/dispatch/periodic.rs
@@ -32,6 +32,7 @@
         if now.since(self.last_prune) >= PRUNE_INTERVAL {
             self.last_prune = now;
             self.poison.prune(&self.settings, now);
+            self.parts.prune(now);
             self.claims.prune(now);
             for service in self.services.values_mut() {
                 service.online.queue.prune();
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -277,6 +277,7 @@
         }
         held.charged = request.cost.max(1);
         held.dispatched = true;
+        held.has_output = false;
         held.phase =
             Phase::InFlight { target: target.clone(), since: now, stopping: false, as_suspect };
         let target_state = &service.targets[&target];
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -5,7 +5,7 @@
 use fleet::QualifiedName;
 use stdx::{Name, Timestamp, record_type, value_type};
 
-use super::health::HealthState;
+use super::{health::HealthState, prompt_parts::PartId};
 
 /// The SHA-256 by which a request is recognised when it is sent again.
 pub type Fingerprint = [u8; 32];
@@ -53,6 +53,8 @@
         pub max_attempts: u32,
         /// The hash of the prompt prefix; requests with the same prefix prefer the same target.
         pub prefix: Option<u64>,
+        /// The parts of the prompt that other requests may share, in the order of the prompt.
+        pub shared_parts: Vec<PartId>,
         /// The hash of everything that determines what the request does to a target.
         pub fingerprint: Fingerprint,
     }
@@ -127,6 +129,27 @@
         },
         /// Tell peers at once that a target died while it ran a request.
         ShareSuspicion(Suspicion),
+        /// Tell peers that a target crashed on which a request with these prompt parts was in flight without any output.
+        SharePartCrash {
+            /// The name of the target.
+            target: Name,
+            /// The parts, in the order of the prompt.
+            parts: Vec<PartId>,
+        },
+        /// Tell peers and the key-value service that a prompt part crashes targets.
+        SharePartVerdict {
+            /// The part.
+            part: PartId,
+            /// The least time for which the part is refused.
+            lifetime: Duration,
+        },
+        /// Tell peers that targets answer on prompt parts that were suspects or condemned.
+        ShareClearedParts(Vec<PartId>),
+        /// Remove a verdict on a prompt part from the key-value service.
+        LiftPartVerdict {
+            /// The part.
+            part: PartId,
+        },
         /// Tell peers at once where a suspect is to run, runs or no longer runs.
         ShareClaim {
             /// The peer; `None` for all.
@@ -200,6 +223,8 @@
         NoTarget,
         /// Two targets died while they ran requests with this fingerprint.
         Poison,
+        /// A part of the prompt crashed several targets.
+        PoisonPart,
         /// The account key was withdrawn.
         KeyWithdrawn,
         /// The attempt failed and the retry budget is exhausted.
--- a/crates/policy/src/dispatch/service.rs
+++ b/crates/policy/src/dispatch/service.rs
@@ -49,6 +49,8 @@
     pub sent: bool,
     /// Whether a byte of the answer arrived in any attempt.
     pub answered: bool,
+    /// Whether output of the current attempt arrived.
+    pub has_output: bool,
     /// Whether the request was dispatched at all.
     pub dispatched: bool,
     /// How often a target refused the request.
@@ -97,6 +99,7 @@
             attempt: 1,
             sent: false,
             answered: false,
+            has_output: false,
             dispatched: false,
             refusals: 0,
             avoid: None,
--- a/crates/policy/tests/dispatch_poison.rs
+++ b/crates/policy/tests/dispatch_poison.rs
@@ -209,6 +209,10 @@
                 Action::RepeatVerdict { to, fingerprint } => {
                     self.broadcast(dispatcher, to, &Event::PoisonVerdict { fingerprint });
                 }
+                Action::SharePartCrash { .. }
+                | Action::SharePartVerdict { .. }
+                | Action::ShareClearedParts(_)
+                | Action::LiftPartVerdict { .. } => unreachable!("no request has parts"),
                 Action::ShareSuspicion(it) => {
                     self.broadcast(dispatcher, None, &Event::PoisonSuspicion(it));
                 }
--- a/crates/policy/tests/dispatch_random.rs
+++ b/crates/policy/tests/dispatch_random.rs
@@ -192,6 +192,11 @@
                 Action::ShareVerdict { fingerprint } => {
                     self.verdicts.push((dispatcher, fingerprint))
                 }
+                // The requests have no shared parts.
+                Action::SharePartCrash { .. }
+                | Action::SharePartVerdict { .. }
+                | Action::ShareClearedParts(_)
+                | Action::LiftPartVerdict { .. } => unreachable!("no request has parts"),
                 Action::RepeatVerdict { .. } | Action::LiftVerdict { .. } => {}
                 Action::ShareSuspicion(suspicion) => {
                     for to in (0..DISPATCHERS).filter(|it| *it != dispatcher) {
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -54,6 +54,7 @@
         resumable: false,
         max_attempts: u32::MAX,
         prefix: None,
+        shared_parts: Vec::new(),
         fingerprint,
     }
 }
