Send a request again only on connections that have not carried it

Callers were told that a request had not run although it had (REFUSED), requests ran at a second target (TWICE), and answers came mixed up (MIXED), on targets that answer some requests twice, the second time late. A connection went back to the pool after an answer that lets the request be sent again, the next send used it, and the late copy of the first answer had the expected id: the id tells requests apart, not the sends of one request.

Evidence: by reading, and a_repeated_answer_does_not_answer_the_next_send_of_its_request, which failed before for 503, 500 and 200 (the copy was delivered as the answer to the second send).

Each connection now remembers the ids of its last 256 exchanges, and a request does not go out on a connection that has carried its id. Other requests still use the connection, and a copy that they meet has a foreign id and fails the exchange.

--- a/crates/http-edge/src/client/exchange.rs
+++ b/crates/http-edge/src/client/exchange.rs
@@ -57,6 +57,7 @@
         .map_err(|failure| SendError::not_sent(addr, failure))?;
     let activity = Activity::default();
     conn.in_exchange = true;
+    conn.record_exchange(request_id);
     let mut buf = std::mem::take(&mut conn.buf);
     let result = {
         let write = write_request(&conn.stream, head, body, framing, &activity);
--- a/crates/http-edge/src/client/mod.rs
+++ b/crates/http-edge/src/client/mod.rs
@@ -157,7 +157,8 @@
     /// Sends a request and returns the answer as soon as its head has arrived.
     ///
     /// The path and query of the URL are sent; the host is `addr`. The request body is streamed, and so is the body of
-    /// the answer. Dropping the future or the answer before its end closes the connection. Nothing is sent twice.
+    /// the answer. Dropping the future or the answer before its end closes the connection. Nothing is sent twice. A connection that
+    /// has carried a request with the same id is not used, since a late copy of its answer could not be told from this one.
     ///
     /// # Errors
     ///
@@ -169,7 +170,7 @@
         request_id: &str,
         req: Request,
     ) -> Result<Response, SendError> {
-        let pooled = self.inner.pool().take(addr, self.inner.settings.idle_timeout);
+        let pooled = self.inner.pool().take(addr, request_id, self.inner.settings.idle_timeout);
         let (conn, reused) = match pooled {
             Some(conn) => (conn, true),
             None => (self.inner.connect(addr).await?, false),
--- a/crates/http-edge/src/client/pool.rs
+++ b/crates/http-edge/src/client/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -16,6 +17,10 @@
 
 use super::ConnectionHandle;
 
+/// The number of exchanges of a connection whose ids are remembered. A copied answer arrives after the answers to the exchanges in
+/// between, so a copy that is further behind would be seconds late.
+const MAX_REMEMBERED_EXCHANGES: usize = 256;
+
 /// An open connection and the bytes that were read from it but not consumed.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -24,6 +29,8 @@
     pub(crate) stream: TcpStream,
     pub(crate) buf: BytesMut,
     closed_by_owner: Arc<AtomicBool>,
+    /// The hashes of the ids of the last exchanges.
+    carried: VecDeque<u64>,
     /// Whether an exchange has begun and its answer has not ended.
     pub(crate) in_exchange: bool,
     /// Time for which the target keeps the connection open while it is idle, if it announced one.
@@ -38,6 +45,7 @@
             stream,
             buf: BytesMut::new(),
             closed_by_owner: Arc::new(AtomicBool::new(false)),
+            carried: VecDeque::new(),
             in_exchange: false,
             keep_alive_timeout: None,
         }
@@ -51,6 +59,18 @@
         }
     }
 
+    /// Records that the connection carries an exchange with this id.
+    pub(crate) fn record_exchange(&mut self, request_id: &str) {
+        if self.carried.len() >= MAX_REMEMBERED_EXCHANGES {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(hash(request_id));
+    }
+
+    fn has_carried(&self, request_id: &str) -> bool {
+        self.carried.contains(&hash(request_id))
+    }
+
     pub(crate) fn is_closed_by_owner(&self) -> bool {
         self.closed_by_owner.load(Ordering::Acquire)
     }
@@ -101,15 +121,23 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection that can still be used.
-    pub(crate) fn take(&mut self, addr: SocketAddr, max_age: Duration) -> Option<Connection> {
+    /// Takes the most recently used connection that can still be used and has not carried a request with this id.
+    pub(crate) fn take(
+        &mut self,
+        addr: SocketAddr,
+        request_id: &str,
+        max_age: Duration,
+    ) -> Option<Connection> {
         let idle = self.idle.get_mut(&addr)?;
-        while let Some(IdleConnection { conn, since }) = idle.pop() {
+        while let Some(at) = idle.iter().rposition(|it| !it.conn.has_carried(request_id)) {
+            let IdleConnection { conn, since } = idle.remove(at);
             if since.elapsed() < conn.max_idle_age(max_age) && conn.is_reusable() {
                 return Some(conn);
             }
         }
-        self.idle.remove(&addr);
+        if idle.is_empty() {
+            self.idle.remove(&addr);
+        }
         None
     }
 
@@ -146,6 +174,12 @@
     }
 }
 
+fn hash(request_id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    request_id.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn retain_counting(
     idle: &mut Vec<IdleConnection>,
     keep: impl Fn(&IdleConnection) -> bool,
--- a/crates/http-edge/tests/client.rs
+++ b/crates/http-edge/tests/client.rs
@@ -400,3 +400,23 @@
     }
     assert!(received < BODY_BYTES, "the whole request arrived");
 }
+
+/// Guards against a late copy of an answer that is taken for the answer to the next send of the same request.
+#[async_std::test]
+async fn a_repeated_answer_does_not_answer_the_next_send_of_its_request() {
+    const DELAY: Duration = Duration::from_millis(100);
+    for status in ["503 Service Unavailable", "500 Internal Server Error", "200 OK"] {
+        let first = format!("HTTP/1.1 {status}\nx-request-id: {{id}}\ncontent-length: 5\n\nfirst");
+        let target = start_target(vec![
+            Reply::Gap(first.clone(), DELAY, first),
+            text("content-length: 6\n\nsecond"),
+        ])
+        .await;
+        let client = client();
+        assert_eq!(body(get(&client, &target, "a").await.unwrap()).await.unwrap(), "first");
+        let again = get(&client, &target, "a").await.unwrap();
+        assert_eq!(body(again).await.unwrap(), "second", "after {status}");
+        // The connections are kept for other requests.
+        assert_eq!(client.idle_count(target.addr), 2);
+    }
+}
