Accept answers without an id only as the first ones of connections to registered targets

A caller could get bytes that belong to no request: the client of targets accepted answers without an id, although registered targets return it. Such bytes can follow an answer on a kept connection (faulty targets send surplus bytes), after the check before the next send.

On a connection that has carried another exchange, an answer without the id of its request now fails. On a new connection nothing can precede the answer, so it is still accepted there, which health checks need. Targets of the fleet document are not held to it.

an_answer_without_an_id_is_accepted_only_as_the_first_one_of_a_connection failed before: the second answer was delivered.

--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -235,7 +235,10 @@
     let cfg = ClientSettings {
         first_byte_timeout: Duration::from_millis(settings.limits.first_byte_ms),
         connect_timeout: Duration::from_millis(settings.limits.connect_ms),
-        request_id_check: RequestIdCheck::IfPresent,
+        request_id_check: match settings.source {
+            FleetSource::Document => RequestIdCheck::IfPresent,
+            FleetSource::Operator => RequestIdCheck::RequiredOnReuse,
+        },
         ..ClientSettings::default()
     };
     Client::new(cfg, move |silence| reporter.report(silence))
--- a/crates/http-edge/src/client/exchange.rs
+++ b/crates/http-edge/src/client/exchange.rs
@@ -75,7 +75,8 @@
     };
     conn.buf = buf;
     let checked = result.and_then(|done| {
-        head::check_request_id(&done.head.res, request_id, inner.settings.request_id_check)?;
+        let check = inner.settings.request_id_check.on_connection(reused);
+        head::check_request_id(&done.head.res, request_id, check)?;
         Ok(done)
     });
     let done = checked.map_err(|failure| {
--- a/crates/http-edge/src/client/mod.rs
+++ b/crates/http-edge/src/client/mod.rs
@@ -69,10 +69,24 @@
 pub enum RequestIdCheck {
     /// The answer fails.
     Required,
+    /// The answer is delivered if it is the first one on its connection. On a connection that has carried other answers, it may be
+    /// a part or a copy of one of them.
+    RequiredOnReuse,
     /// The answer is delivered.
     IfPresent,
 }
 
+impl RequestIdCheck {
+    /// Returns the check for an answer on a new or a reused connection.
+    fn on_connection(self, is_reused: bool) -> Self {
+        match (self, is_reused) {
+            (Self::RequiredOnReuse, true) => Self::Required,
+            (Self::RequiredOnReuse, false) => Self::IfPresent,
+            (check, _) => check,
+        }
+    }
+}
+
 /// Reports that an exchange had no byte in either direction for [`ClientSettings::silence_after`].
 #[derive(Debug, Clone)]
 pub struct Silence {
--- a/crates/http-edge/tests/client.rs
+++ b/crates/http-edge/tests/client.rs
@@ -420,3 +420,19 @@
         assert_eq!(client.idle_count(target.addr), 2);
     }
 }
+
+/// Guards against bytes after an answer that are taken for the answer to the next request, because they name no request.
+#[async_std::test]
+async fn an_answer_without_an_id_is_accepted_only_as_the_first_one_of_a_connection() {
+    let anonymous = "HTTP/1.1 200 OK\ncontent-length: 1\n\nx".to_owned();
+    let target = start_target(vec![Reply::Text(anonymous.clone()), Reply::Text(anonymous)]).await;
+    let settings = ClientSettings {
+        request_id_check: RequestIdCheck::RequiredOnReuse,
+        ..ClientSettings::default()
+    };
+    let client = Client::new(settings, |_| {});
+    assert_eq!(body(get(&client, &target, "a").await.unwrap()).await.unwrap(), "x");
+    let error = get(&client, &target, "b").await.unwrap_err();
+    let expected = Failure::RequestId { expected: "b".to_owned(), found: None };
+    assert_eq!((error.progress, error.failure), (Progress::Sent, expected));
+}
