Let an item that was judged to be poison wait instead of failing

Callers read items as errored seconds before the time at which they may be given up ("dead too soon", real processes). The second verdict as poison ended an item as failed, but a verdict can be wrong, as a partition looks like the loss of the targets behind it, and the protocol knows no such end: an item fails after a status that says so, after its attempts, or when it is given up.

An item now runs again at once after the first verdict and 10 s after the second one, and after the third it waits until its job is given up. An item that does crash targets crashes six at most, two of them after the pause.

That this is the reported cause is suspected, not shown: the report is cut short.

--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -291,7 +291,11 @@
                 self.run_times.record(tokens, events, ran_for);
             }
             ItemEnd::Interrupted | ItemEnd::Poison => {
-                let retry_at = self.cx.clock.now() + ended.retry_delay;
+                let delay = match ended.end {
+                    ItemEnd::Poison => job.run.pause_after_poison(index),
+                    _ => ended.retry_delay,
+                };
+                let retry_at = self.cx.clock.now() + delay;
                 job.interrupted
                     .insert(index, InterruptedItem { output: ended.output, ran_for, retry_at });
             }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -22,9 +22,12 @@
 /// The minimum time between two writes of the index entry while items are left. Each write wakes every daemon that runs items,
 /// while an outdated entry, which still counts finished items, only delays further submissions of the account.
 const INDEX_INTERVAL: Duration = Duration::from_secs(3);
-/// The number of poison verdicts after which an item ends as failed. A single verdict may be wrong, since a network partition
-/// looks like the loss of the targets behind it; with two, an item that does crash targets crashes at most four of them.
-const MAX_POISON_VERDICTS: u32 = 2;
+/// How long an item waits after its first and its second verdict as poison; after the third, it waits until its job is given up.
+/// Each verdict may be wrong, since a network partition looks like the loss of the targets behind it. An item that does crash
+/// targets crashes at most six of them, two of them after the pause.
+const POISON_PAUSES: [Duration; 2] = [Duration::ZERO, Duration::from_secs(10)];
+/// Longer than any job runs.
+const UNTIL_GIVEN_UP: Duration = Duration::from_secs(100 * 24 * 3_600);
 /// The maximum size of the results in one transaction, in bytes.
 const MAX_RESULT_BYTES: usize = 2_000_000;
 
@@ -145,6 +148,12 @@
         self.poison_verdicts[index]
     }
 
+    /// Returns how long an item is to wait if its current run ends with another verdict as poison.
+    pub fn pause_after_poison(&self, index: usize) -> Duration {
+        let pause = POISON_PAUSES.get(self.poison_verdicts[index] as usize);
+        pause.copied().unwrap_or(UNTIL_GIVEN_UP)
+    }
+
     /// Returns the indexes of the waiting items.
     pub fn waiting(&self) -> impl Iterator<Item = usize> {
         self.waiting.iter().copied()
@@ -172,9 +181,7 @@
             }
             ItemEnd::Poison => {
                 self.poison_verdicts[index] += 1;
-                let is_exhausted = self.poison_verdicts[index] >= MAX_POISON_VERDICTS;
-                (is_exhausted || self.may_give_up(now))
-                    .then_some((ItemState::Failed, String::new()))
+                self.may_give_up(now).then_some((ItemState::Failed, String::new()))
             }
             ItemEnd::Interrupted => {
                 self.may_give_up(now).then_some((ItemState::Failed, String::new()))
