Count only status 500 as a failed run of an item

Callers could read an item as errored before its attempts had failed ("dead too soon"): every answer that was no success and not 422 counted as a failed run, a target's 504 at its deadline and a stray 503 or 404 among them.

Only 500 counts now; after other statuses the item runs again after a second.

an_item_fails_only_for_statuses_that_count_as_failed_runs failed before: the item had a result after its first 504.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -29,6 +29,9 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// The status with which a target reports that an item can never succeed.
 const IMPOSSIBLE_STATUS: u16 = 422;
+/// The status with which a target reports a failed run of an item. Other statuses, such as that of a timeout, say nothing about the
+/// item.
+const FAILED_STATUS: u16 = 500;
 /// The longest time between two complete events of an item's stream.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -205,8 +208,11 @@
         info!(cx.log, "item failed at its target"; "request" => &call.request_id, "target" => %target, "status" => status);
         // The dispatcher need not retry: the number of failures of the item decides whether it runs again.
         admission.completed(None);
-        let end = if status == IMPOSSIBLE_STATUS { ItemEnd::Impossible } else { ItemEnd::Failed };
-        return AttemptOutcome::Ended(end);
+        return match status {
+            IMPOSSIBLE_STATUS => AttemptOutcome::Ended(ItemEnd::Impossible),
+            FAILED_STATUS => AttemptOutcome::Ended(ItemEnd::Failed),
+            _ => AttemptOutcome::Refused(MAX_RETRY_DELAY),
+        };
     }
     match read_output(cx, call, target, res, &admission, output).await {
         ReadOutcome::Whole => {
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -263,6 +263,23 @@
     Ok(())
 }
 
+// Guards against an item that ends as failed because of an answer that does not count as a failed run, such as a target's
+// timeout.
+#[async_std::test]
+async fn an_item_fails_only_for_statuses_that_count_as_failed_runs() -> io::Result<()> {
+    let target = Target::start(Behaviour::Status(504)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
+    wait_until("the item ran twice", async || target.requests().len() >= 2).await?;
+    assert_eq!(site.stored_results("job-1"), 0, "no attempt counts");
+    target.set_behaviour(stream(5, 5));
+    wait_until("the item has a result", async || site.stored_results("job-1") == 1).await?;
+    let path = operator::results_path("job-1", 0);
+    let read = site.send(Call::get(path).key(KEY)).await.json();
+    assert_eq!(read["results"][0]["state"], "completed", "{read}");
+    Ok(())
+}
+
 // Guards against two reads of the store for each call to a daemon that does not know the job, and against a wait for results
 // that exist. If many daemons serve callers, most calls reach such a daemon.
 #[async_std::test]
