Continue streams that end inside an event

The incomplete event was delivered to callers, and a batch item was listed as completed with the events so far.

A stream that ends inside an event counts as broken off now, whatever its framing, and continues at another target after its last whole event, like one whose connection was reset.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -284,7 +284,12 @@
             }
         };
         match piece {
-            Ok(Ok(0)) => return ReadOutcome::Whole,
+            Ok(Ok(0)) => {
+                return match output.lock().finish() {
+                    Ok(()) => ReadOutcome::Whole,
+                    Err(e) => ReadOutcome::Broken(e.into()),
+                };
+            }
             Ok(Ok(n)) => {
                 if let Err(e) = output.lock().push(&buf[..n]) {
                     return ReadOutcome::Broken(e.into());
--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -1,5 +1,6 @@
 //! Collects the data of a stream of server-sent events.
 
+use http_edge::framing::BodyError;
 use jobs::PartialOutput;
 
 use super::events::{EventSplitter, StreamError};
@@ -46,6 +47,15 @@
         }
     }
 
+    /// Checks that the stream has not ended inside an event.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`BodyError::Truncated`] if bytes follow the last whole event.
+    pub fn finish(&self) -> Result<(), BodyError> {
+        self.splitter.finish()
+    }
+
     /// Discards the incomplete event at the end of a broken stream.
     pub fn discard_partial(&mut self) {
         self.splitter.discard_partial();
--- a/crates/borageshed/src/online/events.rs
+++ b/crates/borageshed/src/online/events.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use http_edge::framing::BodyError;
 use thiserror::Error;
 
 /// The maximum length of an event; a faulty target may send bytes without end.
@@ -86,9 +87,16 @@
         self.partial.clear();
     }
 
-    /// Returns the bytes after the last whole event, at the end of the stream.
-    pub fn finish(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.partial)
+    /// Checks that the stream has not ended inside an event. A stream without a length looks complete where its connection broke.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`BodyError::Truncated`] if bytes follow the last whole event.
+    pub fn finish(&self) -> Result<(), BodyError> {
+        match self.partial.is_empty() {
+            true => Ok(()),
+            false => Err(BodyError::Truncated),
+        }
     }
 }
 
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -147,12 +147,7 @@
                         return;
                     }
                 }
-                EventRead::End => {
-                    if self.deliver(&tx, splitter.finish()).await {
-                        self.complete(Some(splitter.event_count()));
-                    }
-                    return;
-                }
+                EventRead::End => return self.complete(Some(splitter.event_count())),
                 EventRead::Broken(e) => {
                     drop(res);
                     splitter.discard_partial();
@@ -332,7 +327,10 @@
                 Ok(whole) => EventRead::Whole(whole),
                 Err(e) => EventRead::Broken(e.into()),
             },
-            Read::End => EventRead::End,
+            Read::End => match splitter.finish() {
+                Ok(()) => EventRead::End,
+                Err(e) => EventRead::Broken(e.into()),
+            },
             Read::Broken(e) => EventRead::Broken(e),
             Read::Stopped => EventRead::Stopped,
         }
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -66,8 +66,19 @@
 #[async_std::test]
 async fn a_broken_stream_continues_at_another_target_after_its_last_whole_event() -> io::Result<()>
 {
-    let target = Target::start(Behaviour::BreakAfter(3)).await?;
-    let other = Target::start(Behaviour::BreakAfter(3)).await?;
+    check_that_a_broken_stream_continues(Behaviour::BreakAfter(3)).await
+}
+
+// Guards against a stream without a length that ends inside an event and passes for complete.
+#[async_std::test]
+async fn an_unframed_stream_that_ends_inside_an_event_continues_at_another_target() -> io::Result<()>
+{
+    check_that_a_broken_stream_continues(Behaviour::BreakUnframedAfter(3)).await
+}
+
+async fn check_that_a_broken_stream_continues(behaviour: Behaviour) -> io::Result<()> {
+    let target = Target::start(behaviour).await?;
+    let other = Target::start(behaviour).await?;
     let site = Site::start(&[("t-1", &target), ("t-2", &other)]).await?;
     let reply = site.send(call(STREAMS, "r-1")).await;
     assert_eq!(reply.status, 200, "{}", reply.text());
@@ -280,6 +291,20 @@
     Ok(())
 }
 
+// Guards against an item that is listed as completed although its stream ended inside an event.
+#[async_std::test]
+async fn an_item_continues_after_an_unframed_stream_that_ends_inside_an_event() -> io::Result<()> {
+    let target = Target::start(Behaviour::BreakUnframedAfter(3)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
+    wait_until("the item has a result", async || site.stored_results("job-1") == 1).await?;
+    let path = operator::results_path("job-1", 0);
+    let read = site.send(Call::get(path).key(KEY)).await.json();
+    let whole: Vec<String> = (1..=6).map(|n| format!("part {n}")).collect();
+    assert_eq!(read["results"][0]["text"], whole.join("\n"), "{read}");
+    Ok(())
+}
+
 // Guards against two reads of the store for each call to a daemon that does not know the job, and against a wait for results
 // that exist. If many daemons serve callers, most calls reach such a daemon.
 #[async_std::test]
