Read the configuration again when peers have a newer one in force

A daemon that hears nothing of a change for another reason than a silent service, such as an answer that is lost between the two, kept the old configuration in force for up to 16 s, though its peers told it of a newer one in each heartbeat. Nothing compared the two where the operator declares the configuration; the announcements only filled a queue that nobody read.

If a peer is ahead for a second, the daemon now gives up its call for changes, or the relay that it asks, and reads the configuration again. This costs a call only when something was missed.

--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -128,6 +128,7 @@
         }
         FleetSource::Operator => {
             task::spawn(operator::follow_configuration(Arc::clone(&cx)));
+            task::spawn(operator::catch_up_with_peers(Arc::clone(&cx), peer_revisions_rx));
             task::spawn(operator::follow_targets(Arc::clone(&cx)));
         }
     }
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -1,7 +1,8 @@
 //! Follows the configuration and the targets that the platform's operator declares.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use async_std::task;
 use fleet::QualifiedName;
 use http_edge::server::ServerLimits;
 use platform::{
@@ -12,13 +13,17 @@
 use slog::{error, info, warn};
 
 use crate::{
-    config_sync,
+    config_sync::{self, PeerRevision},
     control::ControlEvent,
     directory::{TargetName, TargetTable},
     in_force::InForce,
     shared::Shared,
 };
 
+/// How long a peer may have a newer configuration in force before this daemon reads it again. Calls for changes, relays and
+/// heartbeats usually take less than that.
+const MAX_PEER_LEAD: Duration = Duration::from_millis(1_000);
+
 /// Follows the operator's configuration until the daemon stops.
 pub async fn follow_configuration(cx: Arc<Shared>) {
     let allowance = configuration::RateAllowance {
@@ -45,6 +50,30 @@
     .await;
 }
 
+/// Reads the configuration again while peers have a newer one in force for longer than a change takes to reach every daemon. Then
+/// the answer to the call that waits for changes is lost, or the relay that is asked has missed the change.
+pub async fn catch_up_with_peers(
+    cx: Arc<Shared>,
+    announced: async_channel::Receiver<PeerRevision>,
+) {
+    while let Ok(PeerRevision { peer, revision }) = announced.recv().await {
+        let in_force = cx.in_force.number();
+        if revision <= in_force {
+            continue;
+        }
+        task::sleep(MAX_PEER_LEAD).await;
+        if cx.in_force.number() == in_force {
+            warn!(
+                cx.log, "a peer has a newer configuration in force; reading it again";
+                "peer" => %peer, "revision" => revision, "in_force" => in_force
+            );
+            cx.platform_store().read_configuration_again();
+        }
+        // Announcements that came meanwhile are as old as this one; the peer repeats them.
+        while announced.try_recv().is_ok() {}
+    }
+}
+
 fn apply_configuration(cx: &Arc<Shared>, configuration: Configuration) {
     let Configuration { version, document, limits } = configuration;
     let routes = document.host_routes.len();
--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -647,6 +647,24 @@
     .await
 }
 
+// Guards against an old configuration that stays in force because the notice of the new one was lost on the way to this daemon alone.
+#[async_std::test]
+async fn a_configuration_that_peers_have_in_force_is_read_although_its_notice_was_lost()
+-> io::Result<()> {
+    let target = Target::start(Behaviour::Status(200)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    assert_eq!(site.send(call(LOOKUPS, "r-1")).await.status, 200);
+    // The call that waits for changes follows the first reading after a delay of up to 600 ms.
+    task::sleep(Duration::from_secs(1)).await;
+    site.entry_link.silence();
+    operator::configure(&site.platform, 5, &["key-two"]);
+    let changed_at = Instant::now();
+    let refused = async || site.send(call(LOOKUPS, "r-2")).await.status == 401;
+    wait_until("the key is refused", refused).await?;
+    assert!(changed_at.elapsed() < Duration::from_secs(4), "{:?}", changed_at.elapsed());
+    Ok(())
+}
+
 // Guards against a request that stays on a silent connection to an unreachable target, and that the kernel delivers once the target
 // can be reached again, when it may be leaving.
 #[async_std::test]
