Move the target list and the stored verdicts into modules of their own

dispatcher.rs and effects.rs had grown past one job each: changes of the target list go to target_list.rs, and the verdicts in the key-value service to verdicts.rs.

--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -35,7 +35,7 @@
     retirement,
     settings::{FleetSource, Settings},
     shared::{Parts, Shared},
-    silence, summary,
+    silence, summary, verdicts,
 };
 
 /// How long a drain waits for the release of the rate slots. Slots that are not released lapse on their own.
@@ -117,7 +117,7 @@
     let _ = cx.peers.set(peers.clone());
     task::spawn(peers::run(Arc::clone(&cx), peers.clone()));
     task::spawn(effects::run(Arc::clone(&cx), peers.clone(), effects));
-    task::spawn(effects::load_verdicts(Arc::clone(&cx)));
+    task::spawn(verdicts::load_verdicts(Arc::clone(&cx)));
     task::spawn(summary::run(Arc::clone(&cx)));
     task::spawn(membership::register(Arc::clone(&cx)));
     task::spawn(membership::follow(Arc::clone(&cx), peers.clone()));
--- a/crates/borageshed/src/effects.rs
+++ b/crates/borageshed/src/effects.rs
@@ -7,7 +7,7 @@
 use http_types::{Method, Request, Url};
 use kv_store::{Entry, Outcome, Revision};
 use policy::{
-    dispatch::{Event, Fingerprint, MAX_LIFETIME_FACTOR, PartId},
+    dispatch::Event,
     slots::{SlotAction, SlotOutcome, SlotRecord, StoreRevision, StoredSlot},
 };
 use slog::{debug, info, warn};
@@ -18,22 +18,15 @@
     online::protocol,
     peers::Peers,
     shared::Shared,
+    verdicts::{self, part_digits},
 };
 
 /// How long a target may take to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long a poison verdict is kept in the key-value service.
-const VERDICT_TTL: Duration = Duration::from_secs(3_600);
-/// The delay before a failed read of the stored verdicts is retried.
-const VERDICTS_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// The timeout of a read that goes through relays.
-const SHARED_READ_TIMEOUT: Duration = Duration::from_secs(3);
+pub const SHARED_READ_TIMEOUT: Duration = Duration::from_secs(3);
 /// The prefix of the slot records.
 pub const SLOTS_PREFIX: &str = "slots/";
-/// The prefix of the poison verdicts.
-pub const POISON_PREFIX: &str = "poison/";
-/// What distinguishes the keys of verdicts on prompt parts from those of verdicts on requests.
-const PART_KEY: &str = "part/";
 
 /// Performs effects until the control thread ends.
 pub async fn run(cx: Arc<Shared>, peers: Peers, effects: async_channel::Receiver<Effect>) {
@@ -47,7 +40,7 @@
             Effect::ShareVerdict { fingerprint } => {
                 warn!(cx.log, "request fingerprint is poison"; "fingerprint" => hex::encode(fingerprint));
                 peers.send_verdict(None, &fingerprint);
-                task::spawn(store_verdict(Arc::clone(&cx), fingerprint));
+                task::spawn(verdicts::store_verdict(Arc::clone(&cx), fingerprint));
             }
             Effect::RepeatVerdict { to, fingerprint } => {
                 peers.send_verdict(to.as_ref(), &fingerprint);
@@ -55,7 +48,7 @@
             Effect::LiftVerdict { fingerprint } => {
                 warn!(cx.log, "request fingerprint is no longer poison: a target that it was blamed for is alive";
                     "fingerprint" => hex::encode(fingerprint));
-                task::spawn(remove_verdict(Arc::clone(&cx), fingerprint));
+                task::spawn(verdicts::remove_verdict(Arc::clone(&cx), fingerprint));
             }
             Effect::ShareSuspicion(suspicion) => {
                 info!(cx.log, "target crashed while running a request"; "target" => %suspicion.target,
@@ -71,7 +64,7 @@
                 warn!(cx.log, "prompt part crashes targets and is refused"; "part" => part_digits(&part),
                     "lifetime_s" => lifetime.as_secs());
                 peers.broadcast_part_verdict(part, lifetime);
-                task::spawn(store_part_verdict(Arc::clone(&cx), part, lifetime));
+                task::spawn(verdicts::store_part_verdict(Arc::clone(&cx), part, lifetime));
             }
             Effect::ShareClearedParts(parts) => {
                 debug!(cx.log, "targets answer on suspect prompt parts";
@@ -80,7 +73,7 @@
             }
             Effect::LiftPartVerdict { part } => {
                 warn!(cx.log, "prompt part no longer crashes targets"; "part" => part_digits(&part));
-                task::spawn(remove_part_verdict(Arc::clone(&cx), part));
+                task::spawn(verdicts::remove_part_verdict(Arc::clone(&cx), part));
             }
             Effect::ShareClaim { to, claim } => {
                 debug!(cx.log, "claim on the run of a suspect request sent"; "target" => %claim.target, "state" => ?claim.state,
@@ -115,96 +108,6 @@
     }
 }
 
-async fn store_verdict(cx: Arc<Shared>, fingerprint: Fingerprint) {
-    let key = verdict_key(&fingerprint);
-    let stored = async {
-        let lease = cx.store.lease_grant(VERDICT_TTL).await?;
-        cx.store.put_with_lease(&key, b"{}", lease).await
-    };
-    match stored.await {
-        Ok(Outcome::Won(_)) => cx.platform_answered(),
-        Ok(outcome) => {
-            warn!(cx.log, "unknown whether the poison verdict was stored"; "outcome" => ?outcome)
-        }
-        Err(e) => warn!(cx.log, "poison verdict not stored"; "error" => %e),
-    }
-}
-
-/// Removes a stored verdict, so that instances that start later do not apply it.
-async fn remove_verdict(cx: Arc<Shared>, fingerprint: Fingerprint) {
-    match cx.store.delete(&verdict_key(&fingerprint), None).await {
-        Ok(Outcome::Won(_)) => cx.platform_answered(),
-        Ok(outcome) => debug!(cx.log, "poison verdict not removed"; "outcome" => ?outcome),
-        Err(e) => warn!(cx.log, "poison verdict not removed"; "error" => %e),
-    }
-}
-
-/// Stores a verdict on a prompt part for the longest time that an instance refuses the part.
-async fn store_part_verdict(cx: Arc<Shared>, part: PartId, lifetime: Duration) {
-    let value = lifetime.as_millis().to_string();
-    let stored = async {
-        let lease = cx.store.lease_grant(lifetime.mul_f64(MAX_LIFETIME_FACTOR)).await?;
-        cx.store.put_with_lease(&part_verdict_key(part), value.as_bytes(), lease).await
-    };
-    match stored.await {
-        Ok(Outcome::Won(_)) => cx.platform_answered(),
-        Ok(outcome) => {
-            warn!(cx.log, "unknown whether the verdict on a prompt part was stored"; "outcome" => ?outcome)
-        }
-        Err(e) => warn!(cx.log, "verdict on a prompt part not stored"; "error" => %e),
-    }
-}
-
-async fn remove_part_verdict(cx: Arc<Shared>, part: PartId) {
-    match cx.store.delete(&part_verdict_key(part), None).await {
-        Ok(Outcome::Won(_)) => cx.platform_answered(),
-        Ok(outcome) => {
-            debug!(cx.log, "verdict on a prompt part not removed"; "outcome" => ?outcome)
-        }
-        Err(e) => warn!(cx.log, "verdict on a prompt part not removed"; "error" => %e),
-    }
-}
-
-fn part_verdict_key(part: PartId) -> String {
-    format!("{POISON_PREFIX}{PART_KEY}{}", part_digits(&part))
-}
-
-fn part_digits(part: &PartId) -> String {
-    format!("{:016x}", part.0)
-}
-
-fn verdict_key(fingerprint: &Fingerprint) -> String {
-    format!("{POISON_PREFIX}{}", hex::encode(fingerprint))
-}
-
-/// Reads the stored verdicts once, as soon as the key-value service answers. They remain valid after the instance that
-/// issued them has stopped.
-pub async fn load_verdicts(cx: Arc<Shared>) {
-    loop {
-        match cx.platform_store().shared_entries(POISON_PREFIX, SHARED_READ_TIMEOUT).await {
-            Ok(entries) => {
-                for event in entries.iter().filter_map(decode_verdict) {
-                    cx.control.send(ControlEvent::Dispatch(event));
-                }
-                return;
-            }
-            Err(e) => debug!(cx.log, "poison verdicts not read"; "error" => %e),
-        }
-        task::sleep(VERDICTS_RETRY_DELAY).await;
-    }
-}
-
-/// Decodes a stored verdict on a request or on a prompt part.
-fn decode_verdict(entry: &Entry) -> Option<Event> {
-    let key = entry.key.strip_prefix(POISON_PREFIX)?;
-    let Some(part) = key.strip_prefix(PART_KEY) else {
-        return Some(Event::PoisonVerdict { fingerprint: hex::decode(key).ok()?.try_into().ok()? });
-    };
-    let part = PartId(u64::from_str_radix(part, 16).ok()?);
-    let lifetime = std::str::from_utf8(&entry.value).ok()?.parse().ok()?;
-    Some(Event::PartVerdict { part, lifetime: Duration::from_millis(lifetime) })
-}
-
 async fn perform_slot_action(cx: Arc<Shared>, action: SlotAction) {
     match action {
         SlotAction::ReadAll { read, must_be_current } => {
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -19,7 +19,8 @@
 //! - [`leases`]: renews leases of the key-value service.
 //! - [`load_reports`]: reads the load that targets report.
 //! - [`membership`], [`peers`], [`loans`], [`suspects`]: communication with other daemons.
-//! - [`silence`]: closes silent connections to targets.
+//! - [`silence`]: resets silent connections to targets.
+//! - [`verdicts`]: stores verdicts on requests and prompt parts that crash targets.
 //! - [`burn`]: counts good and bad requests against the objective.
 //! - [`answer`]: helpers for answers to callers.
 
@@ -53,3 +54,4 @@
 pub mod status;
 pub mod summary;
 pub mod suspects;
+pub mod verdicts;
--- a/crates/borageshed/src/peers/reads.rs
+++ b/crates/borageshed/src/peers/reads.rs
@@ -24,11 +24,7 @@
 use stdx::Name;
 
 use super::{Inner, Peers, pending::PendingQuestions};
-use crate::{
-    effects::{POISON_PREFIX, SLOTS_PREFIX},
-    job_work::index,
-    shared::Shared,
-};
+use crate::{effects::SLOTS_PREFIX, job_work::index, shared::Shared, verdicts::POISON_PREFIX};
 
 /// How long an answer may take in addition to the time that the relay waits for a change. A relay that has stopped is
 /// detected sooner, because its link closes.
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 //! - `prompt_parts`: suspicion and verdicts by the parts of a prompt that requests share.
 //! - `service`: the state of one service.
 //! - `target`: load and limits of one target.
+//! - `target_list`: changes of the target list.
 //! - `suspects`: the messages about suspects between this instance and its peers.
 //! - `periodic`: the periodic work of `tick`.
 
@@ -43,6 +44,7 @@
 mod service;
 mod suspects;
 mod target;
+mod target_list;
 mod target_subset;
 
 pub use dispatcher::{Dispatcher, Snapshot};
