Take only a refused connection for the end of a target

A target that has too many connections resets further ones, so a reset of the check after a broken connection says nothing about its process, and could have counted as a crash against the prompt parts of requests there.

The forwarder names what it tracks about the output of an attempt.

--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -124,14 +124,15 @@
         let mut splitter = EventSplitter::default();
         let (mut meter, mut is_resumed) = (EventGapMeter::default(), false);
         let mut resumes = 0;
-        let mut events_before = 0;
+        // Events of the current attempt follow those of the attempts before it.
+        let (mut events_before, mut has_output) = (0, false);
         let mut buf = vec![0; MAX_PIECE_BYTES];
         loop {
             match self.read_events(&mut res, &mut buf, &mut splitter).await {
                 EventRead::Whole(whole) => {
-                    if !whole.is_empty() && splitter.event_count() > events_before {
+                    if !has_output && splitter.event_count() > events_before {
+                        has_output = true;
                         self.admission.output_begun();
-                        events_before = u64::MAX;
                     }
                     // After a resumption on any target, `self.target` may not be the target that sends the stream.
                     if !is_resumed {
@@ -169,7 +170,7 @@
                     };
                     match resumed {
                         ResumeOutcome::Continued(next) => {
-                            events_before = splitter.event_count();
+                            (events_before, has_output) = (splitter.event_count(), false);
                             res = *next;
                         }
                         ResumeOutcome::Failed => {
--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -123,9 +123,8 @@
     let check = cx.client.check_connection(address);
     match async_std::future::timeout(LIVENESS_CHECK_TIMEOUT, check).await {
         Ok(Ok(())) => Liveness::Alive,
-        Ok(Err(Failure::Connect(ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset))) => {
-            Liveness::Ended
-        }
+        // A target that has too many connections resets further ones, so only a refusal shows that it has ended.
+        Ok(Err(Failure::Connect(ErrorKind::ConnectionRefused))) => Liveness::Ended,
         Ok(Err(_)) | Err(_) => Liveness::Unknown,
     }
 }
