Read and log the limits that targets name

Each answer's limit is logged with service, target and value, and one that is no number is reported. It changes no decision.

--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -7,8 +7,9 @@
 use fleet::QualifiedName;
 use http_edge::client::Failure;
 use http_types::{Request, Response};
-use platform::egress::{self, AnswerMetadata, NotRun, RequestMetadata};
+use platform::egress::{self, AnswerMetadata, NamedLimit, NotRun, RequestMetadata};
 use policy::dispatch::{Event, NotRunCause};
+use slog::{debug, warn};
 use stdx::Name;
 
 use super::{Call, event_gap::EventGapMeter};
@@ -52,7 +53,10 @@
     if cx.settings.source == FleetSource::Document {
         return None;
     }
-    let AnswerMetadata { not_run, load, leaving } = egress::answer_metadata(res);
+    let AnswerMetadata { not_run, load, leaving, limit } = egress::answer_metadata(res);
+    if not_run != Some(NotRun::Misdirected) {
+        log_limit(cx, &call.service, target, limit);
+    }
     if leaving && not_run != Some(NotRun::Misdirected) {
         report_leaving(cx, &call.service, target);
     }
@@ -99,6 +103,18 @@
     }
 }
 
+fn log_limit(cx: &Shared, service: &QualifiedName, target: &Name, limit: NamedLimit) {
+    match limit {
+        NamedLimit::None => {}
+        NamedLimit::Millis(it) => {
+            debug!(cx.log, "target names a limit"; "service" => %service, "target" => %target, "limit_per_s" => it as f64 / 1_000.0);
+        }
+        NamedLimit::Unreadable => {
+            warn!(cx.log, "target names a limit that cannot be read"; "service" => %service, "target" => %target);
+        }
+    }
+}
+
 fn report_leaving(cx: &Shared, service: &QualifiedName, target: &Name) {
     let (service, target) = (service.clone(), target.clone());
     cx.control.send(ControlEvent::Dispatch(Event::TargetLeaving { service, target }));
