--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -23,6 +23,8 @@
 pub const KEY: &str = "key-one";
 pub const LIMIT: Duration = Duration::from_secs(15);
 pub const POLL: Duration = Duration::from_millis(20);
+/// The port for administrators of an entry daemon lies this far above its port for callers.
+const ADMIN_OFFSET: u16 = 100;
 
 /// An entry daemon, which accepts callers, and a worker daemon, which runs items, with their own store.
 pub struct Site {
@@ -51,20 +53,30 @@
         operator::register_malformed(&platform, "garbage");
         let entry_link = Link::start(platform.address()).await?;
         let worker_link = Link::start(platform.address()).await?;
-        let mut entry = settings(entry_link.address(), ip, "entry", 8_100);
-        entry["listen"] = json!(SocketAddr::from((ip, 8_000)));
-        entry["batch"] = json!({ "enabled": false });
-        let entry = start(&folder, "entry", &entry)?;
+        let entry =
+            start(&folder, "entry", &entry_settings(entry_link.address(), ip, "entry", 8_000))?;
         let worker =
             start(&folder, "worker", &settings(worker_link.address(), ip, "worker", 8_200))?;
         let site = Self { folder, platform, entry_link, worker_link, entry, worker, ip };
+        site.wait_until_ready(8_000).await?;
+        Ok(site)
+    }
+
+    /// Starts another entry daemon, which accepts callers at this port, and waits until it is ready.
+    pub async fn start_entry(&self, name: &str, port: u16) -> io::Result<(Process, SocketAddr)> {
+        let settings = entry_settings(self.platform.address(), self.ip, name, port);
+        let entry = start(&self.folder, name, &settings)?;
+        self.wait_until_ready(port).await?;
+        Ok((entry, SocketAddr::from((self.ip, port))))
+    }
+
+    async fn wait_until_ready(&self, port: u16) -> io::Result<()> {
         let ready = Call::get("/readyz");
-        let admin = SocketAddr::from((ip, 8_100));
+        let admin = SocketAddr::from((self.ip, port + ADMIN_OFFSET));
         wait_until("the entry daemon is ready", async || {
             ready.send(admin).await.is_ok_and(|it| it.status == 200)
         })
-        .await?;
-        Ok(site)
+        .await
     }
 
     /// Starts another worker daemon.
@@ -100,6 +112,14 @@
     }
 }
 
+/// Returns the settings of an entry daemon that accepts callers at this port.
+fn entry_settings(store: SocketAddr, ip: Ipv4Addr, name: &str, port: u16) -> Value {
+    let mut entry = settings(store, ip, name, port + ADMIN_OFFSET);
+    entry["listen"] = json!(SocketAddr::from((ip, port)));
+    entry["batch"] = json!({ "enabled": false });
+    entry
+}
+
 fn settings(store: SocketAddr, ip: Ipv4Addr, name: &str, port: u16) -> Value {
     json!({
         "instance": name, "failure_domain": "a", "source": "operator", "cut_withdrawn": false,
