--- a/crates/borageshed/src/control/effect.rs
+++ b/crates/borageshed/src/control/effect.rs
@@ -4,7 +4,7 @@
 
 use fleet::QualifiedName;
 use policy::{
-    dispatch::{Claim, Fingerprint, PartId, Suspicion},
+    dispatch::{Claim, Fingerprint, LimitNews, PartId, Suspicion},
     rate::RateMessage,
     slots::SlotAction,
 };
@@ -76,6 +76,13 @@
             /// The claim of the suspect on the target.
             claim: Claim,
         },
+        /// Tell peers what is known about the limit of a target.
+        ShareLimit {
+            /// The peer; `None` for all.
+            to: Option<Name>,
+            /// What is known.
+            news: LimitNews,
+        },
         /// Read or write slot records.
         Slot(SlotAction),
     }
--- a/crates/borageshed/src/control/event.rs
+++ b/crates/borageshed/src/control/event.rs
@@ -1,6 +1,9 @@
 //! The input of the control thread: events from request tasks, peers and other parts of the daemon.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use fleet::{Document, QualifiedName};
 use policy::{
@@ -87,6 +90,8 @@
     Members {
         /// The ones that admit requests of callers.
         admitting: BTreeMap<Name, AdmittingInstance>,
+        /// The ones that run batch items.
+        runners: BTreeSet<Name>,
     },
     /// The registered targets changed; they replace those of the document.
     Registry {
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -45,6 +45,8 @@
     document: Option<Arc<Document>>,
     /// The registered daemons that admit requests of callers.
     admitting: BTreeMap<Name, AdmittingInstance>,
+    /// The registered daemons that run batch items.
+    runners: BTreeSet<Name>,
     /// The registered targets by service; `None` if the targets of the document are used.
     registry: Option<BTreeMap<QualifiedName, Vec<dispatch::TargetInfo>>>,
     peers_up: BTreeSet<Name>,
@@ -86,6 +88,7 @@
             directive_senders: HashMap::new(),
             document: None,
             admitting: BTreeMap::new(),
+            runners: BTreeSet::new(),
             registry: None,
             peers_up: BTreeSet::new(),
             peers_leaving: BTreeSet::new(),
@@ -106,7 +109,7 @@
             ControlEvent::PeerLink { peer, up } => self.on_peer_link(now, peer, up),
             ControlEvent::PeerLeaving { peer } => {
                 self.peers_leaving.insert(peer);
-                self.report_admitting_instances(now);
+                self.report_instances(now);
             }
             ControlEvent::Document { document, withdrawn } => {
                 self.set_document(now, document, withdrawn)
@@ -122,9 +125,10 @@
                 }
                 self.update_holdings(now);
             }
-            ControlEvent::Members { admitting } => {
+            ControlEvent::Members { admitting, runners } => {
                 self.admitting = admitting;
-                self.report_admitting_instances(now);
+                self.runners = runners;
+                self.report_instances(now);
             }
             ControlEvent::Registry { services } => {
                 let removed: Vec<QualifiedName> = self
@@ -253,8 +257,10 @@
         info!(self.log, "peer link changed"; "peer" => %peer, "up" => up);
         self.on_dispatch_event(now, dispatch::Event::PeerLink { peer: peer.clone(), up });
         if up {
-            self.peers_leaving.remove(&peer);
-            self.peers_up.insert(peer);
+            self.peers_up.insert(peer.clone());
+            if self.peers_leaving.remove(&peer) {
+                self.report_instances(now);
+            }
         } else {
             self.peers_up.remove(&peer);
         }
@@ -355,24 +361,26 @@
             admitting
                 .insert(self.cfg.instance.clone(), AdmittingInstance { failure_domain, capacity });
         }
-        // A peer that shuts down releases its slots and stops sending requests at once, before the list of registered
-        // daemons shows it.
-        admitting.retain(|it, _| !self.peers_leaving.contains(it));
         admitting
     }
 
-    fn report_admitting_instances(&mut self, now: Timestamp) {
+    fn report_instances(&mut self, now: Timestamp) {
         let admitting = self.admitting_instances().into_iter();
-        let local = admitting.filter(|(_, it)| it.failure_domain == self.cfg.failure_domain);
-        let instances = local.map(|(instance, _)| instance).collect();
-        self.on_dispatch_event(now, dispatch::Event::AdmittingInstances(instances));
+        let instances = dispatch::Instances {
+            admitting: admitting.map(|(name, it)| (name, it.failure_domain)).collect(),
+            leaving: self.peers_leaving.clone(),
+            runners: self.runners.clone(),
+        };
+        self.on_dispatch_event(now, dispatch::Event::Instances(instances));
     }
 
     fn tick_slots(&mut self, now: Timestamp) {
         if !self.cfg.admits_callers {
             return;
         }
-        let admitting = self.admitting_instances();
+        let mut admitting = self.admitting_instances();
+        // A peer that shuts down releases its slots at once, before the list of registered daemons shows it.
+        admitting.retain(|it, _| !self.peers_leaving.contains(it));
         let Some(rate) = &mut self.rate else { return };
         let candidates = admitting.iter().map(|(name, it)| slots::Candidate {
             name,
@@ -447,6 +455,13 @@
                     self.log, "target health changed";
                     "service" => %service, "target" => %target, "health" => ?health, "in_flight" => in_flight
                 ),
+                Action::LimitChanged { service, target, limit } => info!(
+                    self.log, "target limit changed";
+                    "service" => %service, "target" => %target, "limit_per_s" => limit.map(|it| it.0 as f64 / 1_000.0)
+                ),
+                Action::ShareLimit { to, news } => {
+                    self.send_effect(Effect::ShareLimit { to, news })
+                }
                 Action::ShareLoad => self.send_effect(Effect::ShareLoad),
                 Action::ShareVerdict { fingerprint } => {
                     self.send_effect(Effect::ShareVerdict { fingerprint })
--- a/crates/borageshed/src/effects.rs
+++ b/crates/borageshed/src/effects.rs
@@ -80,6 +80,7 @@
                     "fingerprint" => hex::encode(claim.fingerprint));
                 peers.send_claim(to.as_ref(), &claim);
             }
+            Effect::ShareLimit { to, news } => peers.send_limit(to.as_ref(), &news),
             Effect::Slot(action) => {
                 task::spawn(perform_slot_action(Arc::clone(&cx), action));
             }
@@ -101,9 +102,10 @@
     let Ok(url) = Url::parse(&format!("http://{address}{path}")) else { return false };
     let req = Request::new(Method::Get, url);
     let request_id = cx.request_id();
+    let sent_at = cx.clock.now();
     let answer = cx.client.send_over_new_connection(address, &request_id, req);
     match timeout(PROBE_TIMEOUT, answer).await {
-        Ok(Ok(res)) => protocol::shows_health(cx, &res, service, target),
+        Ok(Ok(res)) => protocol::shows_health(cx, &res, service, target, sent_at),
         Ok(Err(_)) | Err(_) => false,
     }
 }
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -199,7 +199,7 @@
         }
         SendOutcome::Interrupted(directive) => return on_interrupted(admission, directive),
     };
-    if let Some(cause) = protocol::not_run_cause(cx, call, target, &res) {
+    if let Some(cause) = protocol::not_run_cause(cx, call, target, &res, started) {
         admission.not_run(cause);
         return AttemptOutcome::AwaitDirective(admission);
     }
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`leases`]: renews leases of the key-value service.
 //! - [`load_reports`]: reads the load that targets report.
 //! - [`membership`], [`peers`], [`loans`], [`suspects`]: communication with other daemons.
+//! - [`target_limits`]: messages about targets that limit the requests of all instances together.
 //! - [`silence`]: resets silent connections to targets.
 //! - [`verdicts`]: stores verdicts on requests and prompt parts that crash targets.
 //! - [`burn`]: counts good and bad requests against the objective.
@@ -54,4 +55,5 @@
 pub mod status;
 pub mod summary;
 pub mod suspects;
+pub mod target_limits;
 pub mod verdicts;
--- a/crates/borageshed/src/membership.rs
+++ b/crates/borageshed/src/membership.rs
@@ -1,6 +1,10 @@
 //! Registers this daemon in the key-value service under a lease, and follows the registrations of the other daemons.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::task;
 use fleet::{MEMBERS_PREFIX, MemberRecord};
@@ -159,7 +163,8 @@
             (name.clone(), admitting)
         });
         let runners = members.values().filter(|it| it.member.runs_items);
-        cx.set_item_runners(runners.map(|it| it.member.name.clone()).collect());
+        let runners: BTreeSet<Name> = runners.map(|it| it.member.name.clone()).collect();
+        cx.set_item_runners(runners.clone());
         let from_settings = cx.settings.peers.iter().map(|peer| {
             let member = Member {
                 name: peer.instance.clone(),
@@ -180,6 +185,6 @@
         known.remove(&cx.settings.instance);
         debug!(cx.log, "registered daemons changed"; "daemons" => members.len(), "dialled" => known.len());
         peers.set_known(cx, known.into_values().collect());
-        cx.control.send(ControlEvent::Members { admitting: admitting.collect() });
+        cx.control.send(ControlEvent::Members { admitting: admitting.collect(), runners });
     }
 }
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -106,7 +106,7 @@
             return end_interrupted(admission, interrupt);
         }
     };
-    if let Some(cause) = protocol::not_run_cause(cx, call, target, &res) {
+    if let Some(cause) = protocol::not_run_cause(cx, call, target, &res, started) {
         debug!(cx.log, "target did not run the request"; "request" => &call.request_id, "target" => %target, "cause" => ?cause);
         // Reads the rest, so that the connection can be reused. Such an answer is short unless the target is faulty.
         let _ = timeout(REFUSAL_BODY_TIMEOUT, prefetch(&mut res)).await;
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -246,7 +246,8 @@
             self.admission.failed_before_send();
             return None;
         };
-        let time_left = self.call.time_left(self.cx.clock.now());
+        let sent_at = self.cx.clock.now();
+        let time_left = self.call.time_left(sent_at);
         let sent = self.cx.client.send(address, &self.call.request_id, req);
         let res = match timeout(time_left, sent).await {
             Ok(Ok(res)) => res,
@@ -264,7 +265,7 @@
                 return None;
             }
         };
-        if let Some(cause) = protocol::not_run_cause(&self.cx, &self.call, target, &res) {
+        if let Some(cause) = protocol::not_run_cause(&self.cx, &self.call, target, &res, sent_at) {
             self.admission.not_run(cause);
             return None;
         }
--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -8,9 +8,9 @@
 use http_edge::client::Failure;
 use http_types::{Request, Response};
 use platform::egress::{self, AnswerMetadata, NamedLimit, NotRun, RequestMetadata};
-use policy::dispatch::{Event, NotRunCause};
-use slog::{debug, warn};
-use stdx::Name;
+use policy::dispatch::{Event, NotRunCause, TargetLimit};
+use slog::warn;
+use stdx::{Name, Timestamp};
 
 use super::{Call, event_gap::EventGapMeter};
 use crate::{control::ControlEvent, settings::FleetSource, shared::Shared};
@@ -43,19 +43,21 @@
 
 /// Returns why a target did not run a request; `None` if it may have run it.
 ///
-/// Also reports to the control thread the load and the shutdown of the target that the answer states.
+/// Also reports to the control thread the load, the limit and the shutdown of the target that the answer states. The request was
+/// sent at `sent_at`.
 pub fn not_run_cause(
     cx: &Shared,
     call: &Call,
     target: &Name,
     res: &Response,
+    sent_at: Timestamp,
 ) -> Option<NotRunCause> {
     if cx.settings.source == FleetSource::Document {
         return None;
     }
     let AnswerMetadata { not_run, load, leaving, limit } = egress::answer_metadata(res);
     if not_run != Some(NotRun::Misdirected) {
-        log_limit(cx, &call.service, target, limit);
+        report_limit(cx, (&call.service, target), limit, sent_at);
     }
     if leaving && not_run != Some(NotRun::Misdirected) {
         report_leaving(cx, &call.service, target);
@@ -75,14 +77,25 @@
 
 /// Returns whether the answer to a health check shows that the target can serve requests.
 ///
-/// Also reports to the control thread if the answer says that the target is shutting down.
-pub fn shows_health(cx: &Shared, res: &Response, service: &QualifiedName, target: &Name) -> bool {
+/// Also reports to the control thread the limit and the shutdown of the target that the answer states. The check was sent at
+/// `sent_at`.
+pub fn shows_health(
+    cx: &Shared,
+    res: &Response,
+    service: &QualifiedName,
+    target: &Name,
+    sent_at: Timestamp,
+) -> bool {
     match cx.settings.source {
         // Any answer shows that the target runs; its status says nothing about whether the target can serve requests.
         FleetSource::Document => true,
         FleetSource::Operator => {
-            if egress::comes_from(res, target) && egress::answer_metadata(res).leaving {
-                report_leaving(cx, service, target);
+            if egress::comes_from(res, target) {
+                let AnswerMetadata { leaving, limit, .. } = egress::answer_metadata(res);
+                report_limit(cx, (service, target), limit, sent_at);
+                if leaving {
+                    report_leaving(cx, service, target);
+                }
             }
             egress::is_healthy(res, target)
         }
@@ -103,16 +116,23 @@
     }
 }
 
-fn log_limit(cx: &Shared, service: &QualifiedName, target: &Name, limit: NamedLimit) {
-    match limit {
-        NamedLimit::None => {}
-        NamedLimit::Millis(it) => {
-            debug!(cx.log, "target names a limit"; "service" => %service, "target" => %target, "limit_per_s" => it as f64 / 1_000.0);
-        }
+/// Reports the limit that an answer names to the control thread; also if it names none, which may end a limit.
+fn report_limit(
+    cx: &Shared,
+    (service, target): (&QualifiedName, &Name),
+    limit: NamedLimit,
+    sent_at: Timestamp,
+) {
+    let limit = match limit {
+        NamedLimit::None => None,
+        NamedLimit::Millis(it) => Some(TargetLimit(it)),
         NamedLimit::Unreadable => {
             warn!(cx.log, "target names a limit that cannot be read"; "service" => %service, "target" => %target);
+            return;
         }
-    }
+    };
+    let (service, target) = (service.clone(), target.clone());
+    cx.control.send(ControlEvent::Dispatch(Event::AnswerLimit { service, target, limit, sent_at }));
 }
 
 fn report_leaving(cx: &Shared, service: &QualifiedName, target: &Name) {
--- a/crates/borageshed/src/peers/loads.rs
+++ b/crates/borageshed/src/peers/loads.rs
@@ -35,6 +35,7 @@
             contending: it.contending,
             batch_contending: it.batch_contending,
             event_gap_ms: it.event_gap_ms,
+            starts: it.starts,
         };
         (TargetId::of(&it.service, &it.target).0, counts)
     });
@@ -117,6 +118,7 @@
             contending: counts.contending,
             batch_contending: counts.batch_contending,
             event_gap_ms: counts.event_gap_ms,
+            starts: counts.starts,
         })
     });
     let services = |waiting: &BTreeMap<u64, u32>| {
@@ -138,6 +140,7 @@
 /// Returns the heartbeat of a daemon that is linked with all others.
 pub(super) fn heartbeat(revision: u64, report: &Report) -> Heartbeat {
     let counts = || report.targets.values();
+    let is_limited = counts().any(|it| it.starts > 0);
     let suspects = (0_u32..).zip(counts());
     let suspects = suspects.flat_map(|(at, it)| std::iter::repeat_n(at, it.suspects as usize));
     Heartbeat {
@@ -147,6 +150,7 @@
         batch: counts().map(|it| it.batch).collect(),
         event_gap_ms: counts().map(|it| it.event_gap_ms).collect(),
         suspects: suspects.collect(),
+        starts: counts().filter(|_| is_limited).map(|it| it.starts).collect(),
         waiting: report.waiting.keys().copied().collect(),
         batch_waiting: report.batch_waiting.keys().copied().collect(),
         ..Heartbeat::default()
@@ -172,6 +176,7 @@
             contending: if waits(&heartbeat.waiting) { online } else { 0 },
             batch_contending: if waits(&heartbeat.batch_waiting) { batch } else { 0 },
             event_gap_ms: count(&heartbeat.event_gap_ms, at),
+            starts: count(&heartbeat.starts, at),
         };
         (*id, counts)
     });
@@ -201,6 +206,7 @@
         contending: list(|it| it.contending),
         batch_contending: list(|it| it.batch_contending),
         event_gap_ms: list(|it| it.event_gap_ms),
+        starts: list(|it| it.starts),
         waiting: waiting.keys().copied().collect(),
         waiting_instances: waiting.values().copied().collect(),
         batch_waiting: batch_waiting.keys().copied().collect(),
@@ -218,6 +224,7 @@
             contending: count(&part.contending, at),
             batch_contending: count(&part.batch_contending, at),
             event_gap_ms: count(&part.event_gap_ms, at),
+            starts: count(&part.starts, at),
         };
         (*id, counts)
     });
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -36,7 +36,7 @@
     message,
 };
 use policy::{
-    dispatch::{Claim, Event, Fingerprint, PartId, Suspicion},
+    dispatch::{Claim, Event, Fingerprint, LimitNews, PartId, Suspicion},
     rate::RateMessage,
 };
 use slog::{debug, info, warn};
@@ -47,7 +47,7 @@
 use self::{jobs::JobQuestions, links::Links, reads::Reads, store_calls::StoreCalls};
 use crate::{
     config_sync::PeerRevision, control::ControlEvent, loans, metrics::PeerLabels, shared::Shared,
-    status::OverlayStatus, suspects,
+    status::OverlayStatus, suspects, target_limits,
 };
 
 /// How often the contents of the heartbeat are renewed.
@@ -244,6 +244,11 @@
         self.send(to, &suspects::claim_to_wire(claim));
     }
 
+    /// Tells a peer, or every peer, what is known about the limit of a target.
+    pub fn send_limit(&self, to: Option<&Name>, news: &LimitNews) {
+        self.send(to, &target_limits::to_wire(news));
+    }
+
     /// Sends a message to one daemon or to all, over as many links as needed, and returns whether it was sent over any. It
     /// may still be lost on the way, so senders repeat messages that matter.
     fn send(&self, to: Option<&Name>, message: &Message) -> bool {
@@ -411,6 +416,10 @@
                 cx.control.send(ControlEvent::Dispatch(Event::SuspectClaim { peer: from, claim }));
             }
         }
+        Message::TargetLimit(limit) => {
+            let news = target_limits::from_wire(&limit);
+            cx.control.send(ControlEvent::Dispatch(Event::LimitNews(news)));
+        }
         Message::JobCancelled(cancelled) => {
             let _ = peers.inner.cancellations.0.try_send(cancelled);
         }
--- a/crates/overlay/src/loads.rs
+++ b/crates/overlay/src/loads.rs
@@ -25,6 +25,8 @@
         pub batch_contending: u32,
         /// The lowest mean time between two events that any instance measured, in milliseconds; 0 if none did.
         pub event_gap_ms: u32,
+        /// The requests sent in the last four seconds; 0 if the target names no limit.
+        pub starts: u32,
     }
 }
 
@@ -167,6 +169,7 @@
                 (0, gap) | (gap, 0) => gap,
                 (a, b) => a.min(b),
             },
+            starts: operation(self.starts, other.starts),
         }
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,6 +18,6 @@
     JobAccepted, JobAnswer, JobCancelled, JobRequest, JobStatus, Leaving, LinkRole, LoadPart,
     Loads, LoanGrant, LoanRequest, LoanReturn, Message, PartCrash, PartVerdict, PoisonSuspicion,
     PoisonVerdict, ReadAnswer, ReadRequest, ReadStatus, StoreCall, StoreCallAnswer,
-    StoreCallOutcome, StoreMethod, StoredItem, SuspectClaim, SuspectState,
+    StoreCallOutcome, StoreMethod, StoredItem, SuspectClaim, SuspectState, TargetLimit,
 };
 pub use stats::Stats;
--- a/crates/peer/src/message/loads.rs
+++ b/crates/peer/src/message/loads.rs
@@ -32,6 +32,9 @@
     /// For each of `targets`, the mean time between two events of its streams, in milliseconds; 0 if not measured.
     #[prost(uint32, repeated, tag = "15")]
     pub event_gap_ms: Vec<u32>,
+    /// For each of `targets`, the requests sent in the last four seconds, or 0 if the target names no limit; empty if none does.
+    #[prost(uint32, repeated, tag = "16")]
+    pub starts: Vec<u32>,
 }
 
 /// Requests in flight of parts of the fleet.
@@ -91,4 +94,7 @@
     /// For each of `targets`, the lowest mean time between two events of its streams, in milliseconds; 0 if unmeasured.
     #[prost(uint32, repeated, tag = "13")]
     pub event_gap_ms: Vec<u32>,
+    /// For each of `targets`, the requests sent in the last four seconds, or 0 if the target names no limit.
+    #[prost(uint32, repeated, tag = "14")]
+    pub starts: Vec<u32>,
 }
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -3,6 +3,7 @@
 //! - [`calls`]: calls to the key-value service that one daemon makes for another.
 //! - [`config`]: parts of the configuration.
 //! - [`jobs`]: batch jobs.
+//! - [`limits`]: targets that limit the requests of all instances together.
 //! - [`links`]: links, and messages that are relayed over several links.
 //! - [`loads`]: requests in flight.
 //! - [`loans`]: loans of rate-limit tokens.
@@ -12,6 +13,7 @@
 pub mod calls;
 pub mod config;
 pub mod jobs;
+pub mod limits;
 pub mod links;
 pub mod loads;
 pub mod loans;
@@ -25,6 +27,7 @@
 pub use calls::{StoreCall, StoreCallAnswer, StoreCallOutcome, StoreMethod};
 pub use config::{ConfigChunk, ConfigFetch};
 pub use jobs::{JobAccepted, JobAnswer, JobCancelled, JobRequest, JobStatus};
+pub use limits::TargetLimit;
 pub use links::{Flood, Forward, Hello, Leaving, LinkRole};
 pub use loads::{Heartbeat, LoadPart, Loads};
 pub use loans::{ClosedLoan, LoanGrant, LoanRequest, LoanReturn};
@@ -124,13 +127,16 @@
     /// Reports that targets answer on prompt parts.
     #[prost(message, tag = "27")]
     ClearedParts(ClearedParts),
+    /// Reports the limit of a target.
+    #[prost(message, tag = "28")]
+    TargetLimit(TargetLimit),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
     )]
     message: Option<Message>,
 }
--- a/crates/peer/tests/heartbeat_rate.rs
+++ b/crates/peer/tests/heartbeat_rate.rs
@@ -71,6 +71,7 @@
         suspects: Vec::new(),
         waiting: vec![0, 1, 2],
         event_gap_ms: vec![65; TARGETS],
+        starts: Vec::new(),
         batch_waiting: vec![0, 1, 2],
     }
 }
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use expect_test::expect;
-use peer::{ClosedLoan, Heartbeat, Hello, LoanRequest, Message, message};
+use peer::{ClosedLoan, Heartbeat, Hello, LoanRequest, Message, TargetLimit, message};
 
 // Guards against a change of the wire format that makes daemons of different versions incompatible during an upgrade.
 #[test]
@@ -31,7 +31,18 @@
         waiting: vec![2],
         batch_waiting: vec![3],
         event_gap_ms: vec![],
+        starts: vec![],
     })));
+    expect!["e2010f0a01611201621a0163200128003002"].assert_eq(&hex(Message::TargetLimit(
+        TargetLimit {
+            origin: "a".into(),
+            service: "b".into(),
+            target: "c".into(),
+            incarnation: 1,
+            limit_millis: Some(0),
+            age_ms: 2,
+        },
+    )));
     expect!["1a210901000000000000001102000000000000001803220b0904000000000000001005"].assert_eq(
         &hex(Message::LoanRequest(LoanRequest {
             account: 1,
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -424,7 +424,9 @@
                         SimEvent::Deliver { instance, event },
                     );
                 }
-                Action::HealthChanged { .. } => {}
+                Action::HealthChanged { .. }
+                | Action::LimitChanged { .. }
+                | Action::ShareLimit { .. } => {}
                 Action::ShareLoad => self.send_heartbeat(instance),
                 // No request of the experiment is poison, and the wait between a claim and its run elapses without answers
                 // to the claim.
--- /dev/null
+++ b/crates/policy/src/dispatch/allowance.rs
@@ -0,0 +1,289 @@
+//! The requests that this instance may send to a target that limits those of all instances together.
+//!
+//! Each instance computes its own part of the limit from the list of registered instances, which is the same everywhere. So no
+//! agreement is needed, and instances that have lost touch with each other never send more than their parts. Tokens of online
+//! and batch requests accrue separately: neither can use up the tokens of the other.
+
+use std::{collections::VecDeque, time::Duration};
+
+use stdx::{Timestamp, value_type};
+
+use super::request::Class;
+
+/// The span over which the requests to a limited target are counted for load reports.
+pub(super) const COUNTING_WINDOW: Duration = Duration::from_secs(4);
+/// The number of instances that run batch items on one limited target.
+const BATCH_USERS: usize = 2;
+/// The part of a limit that batch requests get even if online requests could use all of it, where no other target would run them.
+const BATCH_SHARE: f64 = 0.15;
+/// The further part of a limit that batch requests get while less than this part of it is used.
+const BATCH_FILL: f64 = 0.7;
+/// How often that use is compared; load reports of all instances arrive within this time.
+const FILL_INTERVAL: Duration = Duration::from_secs(1);
+/// The time in which an idle instance saves up tokens beyond the first.
+const BURST: Duration = Duration::from_millis(250);
+/// A target with a lower limit gets this many requests a second all the same. Without any answer, nobody would learn that the
+/// limit has ended.
+const MIN_PER_S: f64 = 0.25;
+
+value_type! {
+    /// A limit on the requests that a target takes from all instances together, in thousandths of a request per second.
+    #[derive(Copy)]
+    pub struct TargetLimit(pub u64);
+}
+
+value_type! {
+    /// The instances that share a limit, and whether this one is among them.
+    #[derive(Copy, Default)]
+    pub(super) struct Sharing {
+        /// The number of instances that send online requests.
+        pub online_users: usize,
+        /// Whether this instance sends online requests.
+        pub is_online_user: bool,
+        /// The number of instances that send batch requests.
+        pub batch_users: usize,
+        /// Whether this instance sends batch requests.
+        pub is_batch_user: bool,
+        /// Whether all targets of the service are limited, so that batch requests depend on the limits.
+        pub all_limited: bool,
+    }
+}
+
+/// What this instance knows of the limit of a target, and its part of it.
+#[derive(Debug, Default)]
+pub(super) struct Allowance {
+    limited: Option<Limited>,
+    /// When the newest news about the limit was true.
+    news_at: Timestamp,
+    /// When peers were last told of the limit, by this instance or another one.
+    pub announced_at: Timestamp,
+}
+
+#[derive(Debug)]
+struct Limited {
+    limit: TargetLimit,
+    sharing: Sharing,
+    online: Bucket,
+    batch: Bucket,
+    /// When this instance sent requests, within [`COUNTING_WINDOW`].
+    starts: VecDeque<Timestamp>,
+    /// Whether batch requests use what online requests leave.
+    is_filling: bool,
+    next_fill_check: Timestamp,
+}
+
+#[derive(Debug)]
+struct Bucket {
+    per_s: f64,
+    tokens: f64,
+    refilled_at: Timestamp,
+}
+
+impl TargetLimit {
+    /// Returns the requests per second that the instances share.
+    pub(super) fn per_s(self) -> f64 {
+        (self.0 as f64 / 1_000.0).max(MIN_PER_S)
+    }
+
+    /// Returns the maximum number of instances that send online requests. Each holds a token when it is idle, so that with more
+    /// of them a burst at all instances would exceed a low limit several times over.
+    pub(super) fn max_online_users(self) -> usize {
+        self.per_s() as usize + 2
+    }
+
+    /// Returns the maximum number of instances that send batch requests.
+    pub(super) fn max_batch_users(self) -> usize {
+        BATCH_USERS
+    }
+}
+
+impl Sharing {
+    fn online_per_s(self, limit: TargetLimit) -> f64 {
+        match self.is_online_user {
+            true => limit.per_s() * (1.0 - self.batch_share()) / self.online_users as f64,
+            false => 0.0,
+        }
+    }
+
+    fn batch_per_s(self, limit: TargetLimit, fill: f64) -> f64 {
+        match self.is_batch_user {
+            true => limit.per_s() * (self.batch_share() + fill).min(1.0) / self.batch_users as f64,
+            false => 0.0,
+        }
+    }
+
+    fn batch_share(self) -> f64 {
+        match (self.online_users, self.batch_users) {
+            (_, 0) => 0.0,
+            (0, _) => 1.0,
+            (_, _) if self.all_limited => BATCH_SHARE,
+            (_, _) => 0.0,
+        }
+    }
+}
+
+impl Allowance {
+    /// Returns the limit; `None` if the target has none.
+    pub fn limit(&self) -> Option<TargetLimit> {
+        self.limited.as_ref().map(|it| it.limit)
+    }
+
+    /// Records a limit that was true at `as_of`; returns whether it is new.
+    pub fn set(&mut self, now: Timestamp, as_of: Timestamp, limit: TargetLimit) -> bool {
+        if as_of < self.news_at {
+            return false;
+        }
+        self.news_at = as_of;
+        match &mut self.limited {
+            Some(it) => std::mem::replace(&mut it.limit, limit) != limit,
+            None => {
+                self.limited = Some(Limited::new(now, limit));
+                true
+            }
+        }
+    }
+
+    /// Records that the target named no limit at `as_of`, or later; returns whether this ends a limit.
+    pub fn clear(&mut self, as_of: Timestamp) -> bool {
+        if as_of <= self.news_at {
+            return false;
+        }
+        self.news_at = as_of;
+        self.limited.take().is_some()
+    }
+
+    /// Returns when the newest news about the limit was true.
+    pub fn news_at(&self) -> Timestamp {
+        self.news_at
+    }
+
+    /// Sets this instance's part of the limit.
+    pub fn set_sharing(&mut self, now: Timestamp, sharing: Sharing) {
+        let Some(it) = &mut self.limited else { return };
+        it.sharing = sharing;
+        it.online.set_rate(now, sharing.online_per_s(it.limit));
+        it.set_batch_rate(now);
+    }
+
+    /// Adds the tokens that have accrued. `idle_use` is the number of requests of the other instances within
+    /// [`COUNTING_WINDOW`] if batch requests may use what online requests leave; otherwise `None`.
+    pub fn refill(&mut self, now: Timestamp, idle_use: Option<u32>) {
+        let Some(it) = &mut self.limited else { return };
+        it.starts.retain(|at| now.since(*at) < COUNTING_WINDOW);
+        it.online.refill(now);
+        it.batch.refill(now);
+        if now >= it.next_fill_check || idle_use.is_none() {
+            it.next_fill_check = now + FILL_INTERVAL;
+            let part = BATCH_FILL * it.limit.per_s() * COUNTING_WINDOW.as_secs_f64();
+            let own = it.starts.len() as f64;
+            it.is_filling = idle_use.is_some_and(|others| f64::from(others) + own < part);
+            it.set_batch_rate(now);
+        }
+    }
+
+    /// Returns whether the limit lets this instance send a request now.
+    pub fn has_token(&self, class: Class) -> bool {
+        self.tokens(class) >= 1
+    }
+
+    /// Returns the number of requests that the limit lets this instance send now.
+    pub fn tokens(&self, class: Class) -> u32 {
+        self.limited.as_ref().map_or(u32::MAX, |it| it.bucket(class).tokens as u32)
+    }
+
+    /// Returns the time until the limit lets this instance send a request; `None` for never.
+    pub fn wait(&self, class: Class) -> Option<Duration> {
+        self.limited.as_ref().map_or(Some(Duration::ZERO), |it| it.bucket(class).wait())
+    }
+
+    /// Returns how many requests per second the limit lets this instance send; `None` if there is no limit.
+    pub fn per_s(&self, class: Class) -> Option<f64> {
+        self.limited.as_ref().map(|it| it.bucket(class).per_s)
+    }
+
+    /// Takes the token for a request that is sent.
+    pub fn take(&mut self, now: Timestamp, class: Class) {
+        let Some(it) = &mut self.limited else { return };
+        it.starts.push_back(now);
+        it.bucket_mut(class).tokens -= 1.0;
+    }
+
+    /// Takes a token of either class for a request that belongs to none; returns whether there is one.
+    pub fn take_any(&mut self, now: Timestamp) -> bool {
+        let class = [Class::Online, Class::Batch].into_iter().find(|it| self.has_token(*it));
+        class.inspect(|it| self.take(now, *it)).is_some()
+    }
+
+    /// Gives back the token of a request that was not sent.
+    pub fn refund(&mut self, class: Class) {
+        let Some(it) = &mut self.limited else { return };
+        it.starts.pop_back();
+        it.bucket_mut(class).tokens += 1.0;
+    }
+
+    /// Returns the number of requests that this instance sent within [`COUNTING_WINDOW`]; 0 if there is no limit.
+    pub fn recent_starts(&self) -> u32 {
+        self.limited.as_ref().map_or(0, |it| it.starts.len() as u32)
+    }
+}
+
+impl Limited {
+    /// Starts without tokens: the requests before the limit was known count against it, too.
+    fn new(now: Timestamp, limit: TargetLimit) -> Self {
+        let bucket = || Bucket { per_s: 0.0, tokens: 0.0, refilled_at: now };
+        Self {
+            limit,
+            sharing: Sharing::default(),
+            online: bucket(),
+            batch: bucket(),
+            starts: VecDeque::new(),
+            is_filling: false,
+            next_fill_check: now + COUNTING_WINDOW,
+        }
+    }
+
+    fn set_batch_rate(&mut self, now: Timestamp) {
+        let fill = if self.is_filling { BATCH_FILL } else { 0.0 };
+        self.batch.set_rate(now, self.sharing.batch_per_s(self.limit, fill));
+    }
+
+    fn bucket(&self, class: Class) -> &Bucket {
+        match class {
+            Class::Online => &self.online,
+            Class::Batch => &self.batch,
+        }
+    }
+
+    fn bucket_mut(&mut self, class: Class) -> &mut Bucket {
+        match class {
+            Class::Online => &mut self.online,
+            Class::Batch => &mut self.batch,
+        }
+    }
+}
+
+impl Bucket {
+    fn set_rate(&mut self, now: Timestamp, per_s: f64) {
+        self.refill(now);
+        self.per_s = per_s;
+        if per_s == 0.0 {
+            self.tokens = self.tokens.min(0.0);
+        }
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        let accrued = self.per_s * now.since(self.refilled_at).as_secs_f64();
+        let cap = (self.per_s * BURST.as_secs_f64()).max(1.0);
+        self.refilled_at = now;
+        if self.tokens < cap {
+            self.tokens = (self.tokens + accrued).min(cap);
+        }
+    }
+
+    fn wait(&self) -> Option<Duration> {
+        if self.tokens >= 1.0 {
+            return Some(Duration::ZERO);
+        }
+        (self.per_s > 0.0).then(|| Duration::from_secs_f64((1.0 - self.tokens) / self.per_s))
+    }
+}
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
     fair::Entry,
     health::{HealthEvent, HealthState},
     leaving::LeavingTargets,
+    limits::Instances,
     poison::{AttemptEnd, PoisonTable},
     prompt_parts::PartTable,
     request::{Action, Class, Execution, Fingerprint, Reason, Refusal, Request},
@@ -43,6 +44,8 @@
     /// The targets that announced their own shutdown.
     pub(super) leaving_targets: LeavingTargets,
     pub(super) last_prune: Timestamp,
+    /// The registered instances.
+    pub(super) instances: Instances,
     /// Determines the targets that this instance prefers; `None` for no preference.
     pub(super) target_subset: Option<TargetSubset>,
     /// Whether to send peers the requests in flight before the next regular heartbeat.
@@ -101,6 +104,7 @@
             last_run_announcement: Timestamp::ZERO,
             peers: IndexMap::new(),
             leaving_targets: LeavingTargets::default(),
+            instances: Instances::default(),
             target_subset: None,
             last_prune: Timestamp::ZERO,
             heartbeat_wanted: false,
@@ -207,11 +211,23 @@
             Event::ClearedParts(parts) => self.parts.clear(&parts),
             Event::PoisonSuspicion(suspicion) => self.on_suspicion(now, &suspicion),
             Event::SuspectClaim { peer, claim } => self.on_claim(now, peer, &claim),
-            Event::AdmittingInstances(instances) => {
-                self.target_subset = TargetSubset::of(&self.settings.instance, &instances);
+            Event::AnswerLimit { service, target, limit, sent_at } => {
+                self.on_answer_limit(now, (service, target), limit, sent_at);
+            }
+            Event::LimitNews(news) => self.on_limit_news(now, &news),
+            Event::Instances(instances) => {
+                let Settings { instance, failure_domain, .. } = &self.settings;
+                let admitting = instances.admitting.iter();
+                let local = admitting.filter(|(name, it)| {
+                    *it == failure_domain && !instances.leaving.contains(*name)
+                });
+                let local = local.map(|(name, _)| name.clone()).collect();
+                self.target_subset = TargetSubset::of(instance, &local);
+                self.set_instances(now, instances);
             }
             Event::PeerLink { peer, up } => {
                 if up {
+                    self.announce_limits_to(now, &peer);
                     self.linked_peers.insert(peer);
                 } else {
                     self.linked_peers.remove(&peer);
@@ -250,7 +266,7 @@
     pub fn in_flight_loads(&self, now: Timestamp) -> Vec<PeerLoad> {
         let services = self.services.values();
         let loads = services.flat_map(|it| it.targets.values().map(move |t| own_load(it, t, now)));
-        loads.filter(|it| it.online + it.batch > 0).collect()
+        loads.filter(|it| it.online + it.batch + it.starts > 0).collect()
     }
 
     /// Returns the services for which online requests wait, for heartbeats to peers.
@@ -439,5 +455,6 @@
         contending: if service.has_waiting(Class::Online) { online } else { 0 },
         batch_contending: if service.has_waiting(Class::Batch) { batch } else { 0 },
         event_gap_ms: target.pace.own_gap(now).map_or(0, |it| (it.as_millis() as u32).max(1)),
+        starts: target.allowance.recent_starts(),
     }
 }
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -1,11 +1,13 @@
 //! The events that the dispatcher handles.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use fleet::{QualifiedName, Service};
-use stdx::{Name, record_type, value_type};
+use stdx::{Name, Timestamp, record_type, value_type};
 
 use super::{
+    allowance::TargetLimit,
+    limits::{Instances, LimitNews},
     prompt_parts::PartId,
     request::{Claim, Fingerprint, Suspicion},
 };
@@ -99,6 +101,19 @@
             /// The name of the target.
             target: Name,
         },
+        /// An answer arrived, which names the limit of its target or none.
+        AnswerLimit {
+            /// The service of the target.
+            service: QualifiedName,
+            /// The name of the target.
+            target: Name,
+            /// The limit.
+            limit: Option<TargetLimit>,
+            /// When the request of the answer was sent.
+            sent_at: Timestamp,
+        },
+        /// A peer knows something about the limit of a target.
+        LimitNews(LimitNews),
         /// A probe ended.
         Probed {
             /// The service of the target.
@@ -152,8 +167,8 @@
             /// The run.
             claim: Claim,
         },
-        /// The instances of this failure domain that admit callers, including this one if it does.
-        AdmittingInstances(BTreeSet<Name>),
+        /// The complete list of registered instances.
+        Instances(Instances),
         /// The link to a peer opened or closed.
         PeerLink {
             /// The peer instance.
@@ -236,6 +251,8 @@
         pub batch_contending: u32,
         /// The mean time between two events of the target's streams, in milliseconds; 0 without a recent measurement.
         pub event_gap_ms: u32,
+        /// The requests sent in the last four seconds; 0 if the target names no limit.
+        pub starts: u32,
     }
 }
 
--- a/crates/policy/src/dispatch/health.rs
+++ b/crates/policy/src/dispatch/health.rs
@@ -161,9 +161,14 @@
         }
     }
 
+    /// Returns whether a probe is to be sent.
+    pub fn wants_probe(&self) -> bool {
+        self.probe_wanted && self.probe_sent.is_none()
+    }
+
     /// Returns whether a probe is to be sent now; if so, the probe counts as sent.
     pub fn take_probe(&mut self, now: Timestamp) -> bool {
-        let send = self.probe_wanted && self.probe_sent.is_none();
+        let send = self.wants_probe();
         if send {
             self.probe_wanted = false;
             self.probe_sent = Some(now);
--- a/crates/policy/src/dispatch/invariants.rs
+++ b/crates/policy/src/dispatch/invariants.rs
@@ -10,7 +10,7 @@
     dispatcher::Dispatcher,
     request::Class,
     service::{HeldRequest, Phase, Service},
-    target::{Counts, Need},
+    target::{Counts, Need, Target},
 };
 
 #[derive(Debug, Default, PartialEq)]
@@ -79,8 +79,7 @@
             it.local && it.has_room(settings, Need::Online) && it.has_free_slot(settings)
         });
         assert!(!room, "no online request waits while a local target has room");
-        let has_stoppable =
-            service.targets.values().any(|it| it.takes_work() && !it.stoppable.is_empty());
+        let has_stoppable = service.targets.values().any(Target::can_stop_for_online);
         assert!(
             !has_stoppable || service.stopping() >= service.online.queue.len(),
             "as many batch requests are stopping as online requests wait, or all of them"
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -4,12 +4,14 @@
 //! - [`event`]: the events that the dispatcher handles.
 //! - [`request`]: requests, actions and refusals.
 //! - [`settings`]: limits and intervals.
+//! - `allowance`: the requests that this instance may send to a target that limits them.
 //! - `budget`: the retry budget.
 //! - `claims`: claims that make the run of a suspect exclusive across instances.
 //! - `leaving`: the targets that announced their shutdown.
 //! - `fair`: the weighted fair queue.
 //! - `health`: target health, interpreted from a state chart.
 //! - `invariants`: invariant checks over the whole state.
+//! - `limits`: the limits that targets name, and which instances share them.
 //! - `outcome`: how the end of an attempt is handled.
 //! - `pace`: the streaming speed of targets, relative to the others of their service.
 //! - `target_subset`: the targets that an instance prefers where many instances share them.
@@ -28,12 +30,14 @@
 pub mod request;
 pub mod settings;
 
+mod allowance;
 mod budget;
 mod claims;
 mod fair;
 mod health;
 mod invariants;
 mod leaving;
+mod limits;
 mod outcome;
 mod pace;
 mod part_evidence;
@@ -47,9 +51,11 @@
 mod target_list;
 mod target_subset;
 
+pub use allowance::TargetLimit;
 pub use dispatcher::{Dispatcher, Snapshot};
 pub use event::{Event, FailureCause, NotRunCause, PeerLoad, TargetInfo, target_infos};
 pub use health::HealthState;
+pub use limits::{Instances, LimitNews};
 pub use prompt_parts::{MAX_LIFETIME_FACTOR, PartId};
 pub use request::{
     Action, Claim, ClaimState, Class, Execution, Fingerprint, Reason, Refusal, Request, Suspicion,
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -55,6 +55,10 @@
 
     pub(super) fn on_failed_before_send(&mut self, now: Timestamp, id: u64) {
         let Some(released) = self.release(now, id, AttemptEnd::Neutral) else { return };
+        let class = self.requests[&id].class();
+        if let Some(target) = self.services[released.service].targets.get_mut(&released.target) {
+            target.allowance.refund(class);
+        }
         self.apply_health_event(now, released.service, &released.target, HealthEvent::Failure);
         self.retry(now, id, &released, true);
     }
--- a/crates/policy/src/dispatch/periodic.rs
+++ b/crates/policy/src/dispatch/periodic.rs
@@ -45,6 +45,7 @@
         let own_domain = &self.settings.failure_domain;
         let peers = self.peers.values().filter(|it| it.failure_domain == *own_domain).count();
         let slow_threshold = pace::slow_threshold(&self.services[service]);
+        self.refill_allowances(now, service);
         // Targets are accessed by index, because a fleet has thousands of them and this loop runs many times a second.
         for i in 0..self.services[service].targets.len() {
             let target = &mut self.services[service].targets[i];
@@ -61,6 +62,22 @@
         }
     }
 
+    /// Adds the tokens of limited targets that have accrued.
+    fn refill_allowances(&mut self, now: Timestamp, service: usize) {
+        for i in 0..self.services[service].targets.len() {
+            let target = &self.services[service].targets[i];
+            if target.allowance.limit().is_none() {
+                continue;
+            }
+            let is_contended =
+                target.contenders > 0 || self.services[service].has_waiting(Class::Online);
+            let hears_users = !is_contended && self.hears_online_users(&target.info.failure_domain);
+            let target = &mut self.services[service].targets[i];
+            let idle_use = hears_users.then_some(target.peer_starts);
+            target.allowance.refill(now, idle_use);
+        }
+    }
+
     pub(super) fn on_peer_heartbeat(&mut self, now: Timestamp, name: Name, peer: Peer) {
         for service in self.services.values_mut() {
             apply_peer_load(service, &peer, Sign::Add);
@@ -96,6 +113,7 @@
             target.contenders = 0;
             target.batch_contending = 0;
             target.batch_contenders = 0;
+            target.peer_starts = 0;
         }
         for peer in self.peers.values() {
             apply_peer_load(service, peer, Sign::Add);
@@ -173,7 +191,8 @@
     fn probe_if_wanted(&mut self, now: Timestamp, service: usize, target: usize) {
         let service = &mut self.services[service];
         let target = &mut service.targets[target];
-        if target.listed && target.health.take_probe(now) {
+        let may_send = target.listed && target.health.wants_probe();
+        if may_send && target.allowance.take_any(now) && target.health.take_probe(now) {
             let (service, target) = (service.name.clone(), target.info.name.clone());
             self.actions.push(Action::Probe { service, target });
         }
@@ -214,6 +233,7 @@
         change(&mut target.peers.online, load.online);
         change(&mut target.peers.batch, load.batch);
         change(&mut target.peers.suspects, load.suspects);
+        change(&mut target.peer_starts, load.starts);
         if target.info.failure_domain == peer.failure_domain {
             change(&mut target.contending, load.contending);
             change(&mut target.batch_contending, load.batch_contending);
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -137,8 +137,11 @@
                 it.has_room(settings, held.need(settings, now)) && self.may_run(now, held, it)
             })
             .collect();
-        let own_batch =
-            |it: &Target| it.takes_work() && (it.stopping > 0 || !it.stoppable.is_empty());
+        let own_batch = |it: &Target| {
+            it.takes_work()
+                && (it.stopping > 0 || !it.stoppable.is_empty())
+                && it.allowance.has_token(held.class())
+        };
         let can_stop =
             service.targets.values().any(|it| own_batch(it) && self.may_run(now, held, it));
         if can_stop || free.iter().any(|it| it.has_free_slot(settings)) {
@@ -227,6 +230,11 @@
             request.idempotent || !held.sent,
             "a non-idempotent request is not dispatched again after a byte may have left"
         );
+        assert!(
+            target_state.allowance.has_token(request.class),
+            "no target gets more requests than its limit"
+        );
+        target_state.allowance.take(now, request.class);
         let as_suspect = self.poison.is_suspect(&request.fingerprint);
         assert!(
             !as_suspect || target_state.own.suspects == 0,
@@ -296,7 +304,7 @@
         for _ in service_state.stopping()..waiting {
             let targets = self.services[service].targets.values();
             let busiest = targets
-                .filter(|it| it.takes_work() && !it.stoppable.is_empty())
+                .filter(|it| it.can_stop_for_online())
                 .max_by_key(|it| (it.local, it.stoppable.len()));
             let Some(target) = busiest.map(|it| it.info.name.clone()) else { return };
             self.stop_newest_batch(service, &target);
@@ -321,7 +329,7 @@
         }
         let busiest = usable
             .into_iter()
-            .filter(|it| !it.stoppable.is_empty())
+            .filter(|it| it.can_stop_for_online())
             .max_by_key(|it| (it.local, it.stoppable.len()));
         if let Some(target) = busiest.map(|it| it.info.name.clone()) {
             self.stop_newest_batch(service, &target);
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -5,7 +5,7 @@
 use fleet::QualifiedName;
 use stdx::{Name, Timestamp, record_type, value_type};
 
-use super::{health::HealthState, prompt_parts::PartId};
+use super::{allowance::TargetLimit, health::HealthState, limits::LimitNews, prompt_parts::PartId};
 
 /// The SHA-256 by which a request is recognised when it is sent again.
 pub type Fingerprint = [u8; 32];
@@ -107,6 +107,22 @@
             /// This instance's requests in flight there.
             in_flight: u32,
         },
+        /// The limit that a target names changed, which is to be logged and requires nothing else.
+        LimitChanged {
+            /// The service of the target.
+            service: QualifiedName,
+            /// The name of the target.
+            target: Name,
+            /// The new limit; `None` if there is none any more.
+            limit: Option<TargetLimit>,
+        },
+        /// Tell peers what is known about the limit of a target.
+        ShareLimit {
+            /// The peer; `None` for all.
+            to: Option<Name>,
+            /// What is known.
+            news: LimitNews,
+        },
         /// Send a heartbeat with the requests in flight to the peers now: an online request took the slot that batch
         /// leaves free, or one above the limit, so that peers must start no batch requests there, or stop some.
         ShareLoad,
--- a/crates/policy/src/dispatch/service.rs
+++ b/crates/policy/src/dispatch/service.rs
@@ -182,11 +182,10 @@
     /// Estimates how long requests wait behind others.
     pub fn wait_model(&self, settings: &Settings, now: Timestamp) -> WaitModel {
         let listed = self.targets.values().filter(|it| it.listed);
-        let slots: u32 = self.targets.values().map(|it| it.slots(settings)).sum();
         WaitModel {
-            until_any: listed.filter_map(|it| it.health.wait(settings, now)).min(),
+            until_any: listed.filter_map(|it| it.wait(settings, now)).min(),
             slot_seconds_per_token: self.slot_seconds_per_token.unwrap_or(0.0)
-                / f64::from(slots.max(1)),
+                / self.capacity(settings, |_| true).unwrap_or(1.0),
         }
     }
 
@@ -197,12 +196,16 @@
 
     /// Estimates how long it takes until a slot in this failure domain becomes free.
     pub fn estimated_local_wait(&self, settings: &Settings) -> Duration {
-        let local = self.targets.values().filter(|it| it.local);
-        let slots: u32 = local.map(|it| it.slots(settings)).sum();
-        if slots == 0 {
-            return Duration::MAX;
-        }
-        let seconds = self.slot_seconds_per_request.unwrap_or(0.0) / f64::from(slots);
+        let Some(capacity) = self.capacity(settings, |it| it.local) else { return Duration::MAX };
+        let seconds = self.slot_seconds_per_request.unwrap_or(0.0) / capacity;
         Duration::from_secs_f64(seconds * (self.online.queue.len() + 1) as f64)
     }
+
+    /// Returns how many online requests of this instance some targets run at a time; `None` if they run none.
+    fn capacity(&self, settings: &Settings, is_counted: impl Fn(&&Target) -> bool) -> Option<f64> {
+        let slot_seconds = self.slot_seconds_per_request.unwrap_or(0.0);
+        let targets = self.targets.values().filter(is_counted);
+        let capacity: f64 = targets.map(|it| it.capacity(settings, slot_seconds)).sum();
+        (capacity > 0.0).then_some(capacity)
+    }
 }
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -5,6 +5,7 @@
 use stdx::Timestamp;
 
 use super::{
+    allowance::Allowance,
     event::TargetInfo,
     health::{Health, HealthState},
     pace::Pace,
@@ -52,6 +53,10 @@
     /// The number of those peers.
     pub batch_contenders: u32,
     pub pace: Pace,
+    /// What the limit of the target lets this instance send.
+    pub allowance: Allowance,
+    /// The requests that peers sent in the counting window, if the target names a limit.
+    pub peer_starts: u32,
     report: Option<Report>,
     window: GrowthWindow,
     /// The highest number of requests in flight, of this instance and its peers, in the current and in the previous
@@ -110,6 +115,8 @@
             batch_contending: 0,
             batch_contenders: 0,
             pace: Pace::default(),
+            allowance: Allowance::default(),
+            peer_starts: 0,
             report: None,
             window: GrowthWindow::default(),
             peaks: [0; 2],
@@ -139,7 +146,7 @@
 
     /// Returns whether the target has room for such a request now.
     pub fn has_room(&self, settings: &Settings, need: Need) -> bool {
-        if !self.takes_work() || self.is_full {
+        if !self.takes_work() || self.is_full || !self.allowance.has_token(need.class()) {
             return false;
         }
         if self.health.state() != HealthState::Up && self.own.total() > 0 {
@@ -167,12 +174,26 @@
         self.load() < self.limit(settings)
     }
 
-    /// Returns how many requests this instance may have in flight beside the online requests of peers.
-    pub fn slots(&self, settings: &Settings) -> u32 {
+    /// Returns whether an online request can take the slot of an own batch request that is not stopping yet.
+    pub fn can_stop_for_online(&self) -> bool {
+        self.takes_work()
+            && !self.stoppable.is_empty()
+            && self.allowance.tokens(Class::Online) > self.stopping
+    }
+
+    /// Returns how many requests this instance may have in flight beside the online requests of peers, on average if the limit
+    /// of the target allows fewer than its slots.
+    pub fn capacity(&self, settings: &Settings, slot_seconds: f64) -> f64 {
         if !self.takes_work() {
-            return 0;
+            return 0.0;
         }
-        self.limit(settings).saturating_sub(self.peers.online)
+        let slots = f64::from(self.limit(settings).saturating_sub(self.peers.online));
+        self.allowance.per_s(Class::Online).map_or(slots, |it| slots.min(it * slot_seconds))
+    }
+
+    /// Estimates how long the target will take no online request; `None` if it will not take any.
+    pub fn wait(&self, settings: &Settings, now: Timestamp) -> Option<Duration> {
+        Some(self.health.wait(settings, now)?.max(self.allowance.wait(Class::Online)?))
     }
 
     /// Returns how many batch requests, of this instance or its peers, must stop because the target is above its limit.
@@ -254,6 +275,15 @@
     }
 }
 
+impl Need {
+    fn class(self) -> Class {
+        match self {
+            Self::Online => Class::Online,
+            Self::Batch { .. } => Class::Batch,
+        }
+    }
+}
+
 impl Counts {
     pub fn total(self) -> u32 {
         self.online + self.batch
--- a/crates/policy/src/dispatch/target_list.rs
+++ b/crates/policy/src/dispatch/target_list.rs
@@ -4,6 +4,7 @@
 use stdx::{Name, Timestamp};
 
 use super::{
+    allowance::Allowance,
     dispatcher::Dispatcher,
     event::TargetInfo,
     health::{HealthEvent, HealthState},
@@ -42,6 +43,9 @@
                 .targets
                 .entry(name.clone())
                 .or_insert_with(|| Target::new(info.clone(), local));
+            if target.info.incarnation != info.incarnation {
+                target.allowance = Allowance::default();
+            }
             target.info = info;
             target.local = local;
             changed.push((name, leaving));
@@ -63,6 +67,7 @@
         for target in returned {
             self.on_target_alive(now, index, &target, now);
         }
+        self.share_limits(now, index);
         self.recount_peer_loads(index);
         self.refresh_targets(now, index);
         self.schedule(now, index);
--- a/crates/policy/tests/dispatch_many.rs
+++ b/crates/policy/tests/dispatch_many.rs
@@ -1,11 +1,11 @@
 //! Tests of many instances that share targets and exchange heartbeats, in simulated time.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    collections::{BTreeMap, BinaryHeap},
     time::Duration,
 };
 
-use policy::dispatch::{Action, Dispatcher, Event, Settings, TargetInfo};
+use policy::dispatch::{Action, Dispatcher, Event, Instances, Settings, TargetInfo};
 use rand::Rng as _;
 use stdx::{Name, Timestamp, rng};
 
@@ -174,8 +174,9 @@
     let now = Timestamp::from_millis(1);
     let targets = (0..TARGETS).map(|it| target_info(&format!("t{it:02}"))).collect();
     dispatcher.on_event(now, Event::TargetsChanged { service: service(), targets });
-    let names: BTreeSet<Name> = (0..INSTANCES).map(name).collect();
-    dispatcher.on_event(now, Event::AdmittingInstances(names));
+    let admitting = (0..INSTANCES).map(|it| (name(it), Name::new("z1"))).collect();
+    let instances = Instances { admitting, ..Instances::default() };
+    dispatcher.on_event(now, Event::Instances(instances));
     dispatcher
 }
 
--- a/crates/policy/tests/dispatch_poison.rs
+++ b/crates/policy/tests/dispatch_poison.rs
@@ -200,7 +200,9 @@
                     let event = Event::Probed { service, target, ok };
                     self.schedule(1, SimEvent::Deliver { dispatcher, event });
                 }
-                Action::HealthChanged { .. } => {}
+                Action::HealthChanged { .. }
+                | Action::LimitChanged { .. }
+                | Action::ShareLimit { .. } => {}
                 Action::ShareLoad => self.heartbeat(dispatcher),
                 Action::CancelBatch { .. } | Action::LiftVerdict { .. } => {}
                 Action::ShareVerdict { fingerprint } => {
--- a/crates/policy/tests/dispatch_random.rs
+++ b/crates/policy/tests/dispatch_random.rs
@@ -182,7 +182,9 @@
                     assert!(!not_run || history.starts == 0, "{id} ran and was refused as not run");
                 }
                 Action::Cancel { id } => self.attempts.retain(|it| it.id != id),
-                Action::HealthChanged { .. } => {}
+                Action::HealthChanged { .. }
+                | Action::LimitChanged { .. }
+                | Action::ShareLimit { .. } => {}
                 Action::ShareLoad => self.heartbeat(dispatcher),
                 Action::CancelBatch { .. } => {}
                 Action::Probe { target, .. } => {
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -102,6 +102,7 @@
             contending: 0,
             batch_contending: 0,
             event_gap_ms: 0,
+            starts: 0,
         };
         self.event(Event::PeerHeartbeat {
             peer: "peer".into(),
