--- /dev/null
+++ b/crates/borageshed/tests/versions.rs
@@ -0,0 +1,149 @@
+//! Runs daemons as separate processes against targets of several software versions, whose output does not fit together.
+
+use std::{io, time::Duration};
+
+use async_std::task;
+use operator_site::{KEY, Site, call, stream, submission, wait_until};
+use test_support::{
+    http::{Call, Reply},
+    operator::{self, HOST, STREAMS},
+    target::{Behaviour, Target},
+};
+
+mod operator_site;
+
+/// Returns the ids of the last events after which a target was asked to continue streams.
+fn continued(target: &Target) -> Vec<String> {
+    let requests = target.requests();
+    let ids = requests.iter().filter_map(|it| it.header("last-event-id"));
+    ids.map(str::to_owned).collect()
+}
+
+/// Sends a request that takes up the stream that the attempt `first` began, after its third event.
+async fn take_up(to: std::net::SocketAddr, id: &str, first: &str) -> Reply {
+    let request = call(STREAMS, id).header("host", HOST);
+    let request = request.header("last-event-id", "3").header("resumes", first);
+    request.send(to).await.expect("an answer")
+}
+
+/// Starts a site with a target of version 1, on which the stream `r-1` breaks after its third event, and then adds a target of
+/// version 2.
+async fn site_with_broken_stream(old: &Target, new: &Target) -> io::Result<Site> {
+    let site = Site::start(&[]).await?;
+    operator::register_version(&site.platform, "t-1", old.address(), "v1");
+    let begun = async || {
+        let request = call(STREAMS, "r-1").header("host", HOST);
+        // The answer breaks off.
+        let _ = request.send(site.callers()).await;
+        !old.requests().is_empty()
+    };
+    wait_until("a stream has begun", begun).await?;
+    operator::register_version(&site.platform, "t-2", new.address(), "v2");
+    task::sleep(Duration::from_millis(500)).await;
+    Ok(site)
+}
+
+// Guards against an answer that a daemon joins from the output of two versions.
+#[async_std::test]
+async fn a_broken_stream_does_not_go_on_at_another_version() -> io::Result<()> {
+    let old = Target::start(Behaviour::BreakAfter(3)).await?;
+    let new = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = Site::start(&[]).await?;
+    operator::register_version(&site.platform, "t-1", old.address(), "v1");
+    operator::register_version(&site.platform, "t-2", new.address(), "v2");
+    task::sleep(Duration::from_millis(500)).await;
+    for n in 0..6 {
+        let request = call(STREAMS, &format!("r-{n}")).header("host", HOST);
+        let _ = request.send(site.callers()).await;
+    }
+    assert!(old.requests().len() + new.requests().len() >= 6);
+    for target in [&old, &new] {
+        for request in target.requests().iter().filter(|it| it.header("last-event-id").is_some()) {
+            let id = request.header("x-request-id");
+            let begun = target
+                .requests()
+                .iter()
+                .any(|it| it.header("x-request-id") == id && it.header("last-event-id").is_none());
+            assert!(begun, "{id:?} was begun at the other version");
+        }
+    }
+    Ok(())
+}
+
+// Guards against a stream that breaks although another target of its version could continue it.
+#[async_std::test]
+async fn a_broken_stream_goes_on_at_another_target_of_its_version() -> io::Result<()> {
+    let old = Target::start(Behaviour::BreakAfter(3)).await?;
+    let same = Target::start(Behaviour::BreakAfter(3)).await?;
+    let other = Target::start(Behaviour::Full).await?;
+    let site = Site::start(&[]).await?;
+    operator::register_version(&site.platform, "t-1", old.address(), "v1");
+    operator::register_version(&site.platform, "t-2", same.address(), "v1");
+    operator::register_version(&site.platform, "t-3", other.address(), "v2");
+    let whole = async || {
+        let reply = call(STREAMS, "r").header("host", HOST).send(site.callers()).await;
+        reply.is_ok_and(|it| it.event_data().len() == 6)
+    };
+    wait_until("a whole stream", whole).await?;
+    assert_eq!(continued(&other), Vec::<String>::new());
+    Ok(())
+}
+
+// Guards against a stream that its caller takes up at another instance, also after a restart, and that goes on at another version.
+#[async_std::test]
+async fn a_stream_that_is_taken_up_does_not_go_on_at_another_version() -> io::Result<()> {
+    let old = Target::start(Behaviour::BreakAfter(3)).await?;
+    let new = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = site_with_broken_stream(&old, &new).await?;
+    let (_second, second) = site.start_entry("second", 8_400).await?;
+    for n in 0..4 {
+        take_up(second, &format!("s-{n}"), "r-1").await;
+        take_up(site.callers(), &format!("e-{n}"), "r-1").await;
+    }
+    assert_eq!(continued(&new), Vec::<String>::new(), "the new version was asked to go on");
+    let went_on = continued(&old).iter().filter(|it| *it == "3").count();
+    assert!(went_on >= 8, "{went_on} of 8 went on");
+    operator::unregister(&site.platform, "t-1");
+    task::sleep(Duration::from_millis(500)).await;
+    let reply = take_up(second, "s-last", "r-1").await;
+    assert_eq!(reply.status, 503, "no target of the version is left");
+    assert_eq!(continued(&new), Vec::<String>::new(), "the new version was asked to go on");
+    let fresh = call(STREAMS, "f-1").header("host", HOST).send(second).await;
+    assert!(fresh.is_ok_and(|it| it.status == 200), "the caller can start anew");
+    Ok(())
+}
+
+// Guards against a daemon that guesses the version of an attempt of which nobody knows.
+#[async_std::test]
+async fn an_attempt_that_nobody_knows_is_not_taken_up_while_two_versions_serve() -> io::Result<()> {
+    let old = Target::start(Behaviour::BreakAfter(3)).await?;
+    let new = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = site_with_broken_stream(&old, &new).await?;
+    let before = continued(&old).len();
+    let reply = take_up(site.callers(), "s-1", "made-up").await;
+    assert_eq!(reply.status, 503);
+    assert_eq!((continued(&old).len(), continued(&new).len()), (before, 0));
+    Ok(())
+}
+
+// Guards against a result that is joined from the output of two versions.
+#[async_std::test]
+async fn an_item_starts_anew_if_no_target_of_its_version_is_left() -> io::Result<()> {
+    let old = Target::start(Behaviour::BreakAndRefuse(3)).await?;
+    let new = Target::start(stream(5, 0)).await?;
+    let site = Site::start(&[]).await?;
+    operator::register_version(&site.platform, "t-1", old.address(), "v1");
+    task::sleep(Duration::from_millis(500)).await;
+    assert_eq!(site.send(submission("job", &["i-1"])).await.status, 202);
+    wait_until("the item has begun", async || !old.requests().is_empty()).await?;
+    operator::unregister(&site.platform, "t-1");
+    operator::register_version(&site.platform, "t-2", new.address(), "v2");
+    site.wait_for_results("job", 1).await?;
+    let at_new = new.requests();
+    let joined = at_new.iter().filter(|it| it.header("last-event-id").is_some()).count();
+    assert_eq!(joined, 0, "{at_new:?}");
+    let results = site.send(Call::get(operator::results_path("job", 0)).key(KEY)).await.json();
+    let text = results["results"][0]["text"].as_str().unwrap_or_default().to_owned();
+    assert_eq!(text.lines().count(), 5, "{text}");
+    Ok(())
+}
