Continue broken streams and items only at the version that began them

The version is now read, and logged with each placement and resumption. The first output binds a request to the version that its target had at the dispatch; from then on placement, retries and claims of suspects pass over all other targets, also in another failure domain if none is left at home. If no target of the version will take work any more, the request is refused at once. An item then drops its output and starts anew; stored partial outputs name their version, and those of earlier releases, which do not, are not continued.

--- a/crates/borageshed/src/api/inference.rs
+++ b/crates/borageshed/src/api/inference.rs
@@ -76,6 +76,7 @@
         deadline: None,
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::SameTarget,
+        version: None,
         prefix: Some(prepared.prefix),
         shared_parts: Vec::new(),
         message: Arc::new(Message {
--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -153,6 +153,7 @@
         deadline: Some(cx.clock.now() + timeout),
         max_attempts: route.max_attempts,
         resumption,
+        version: None,
         prefix: hints.shared_prefix.filter(|_| route.affinity),
         shared_parts: hints.shared_parts,
         message: Arc::new(message),
--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -102,6 +102,7 @@
         large_reserve_until: Timestamp::ZERO,
         idempotent: true,
         resumable: false,
+        version: None,
         max_attempts: u32::MAX,
         prefix: None,
         shared_parts: Vec::new(),
--- a/crates/borageshed/src/api/plain.rs
+++ b/crates/borageshed/src/api/plain.rs
@@ -166,6 +166,7 @@
         deadline: None,
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::SameTarget,
+        version: None,
         prefix: None,
         shared_parts: Vec::new(),
         message: Arc::new(message),
--- a/crates/borageshed/src/control/directive.rs
+++ b/crates/borageshed/src/control/directive.rs
@@ -12,6 +12,8 @@
         Dispatch {
             /// The name of the target within the service.
             target: Name,
+            /// The version of the target.
+            version: Name,
             /// The number of the attempt, starting at one.
             attempt: u32,
         },
--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -439,8 +439,8 @@
     fn perform_actions(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Dispatch { id, target, attempt } => {
-                    self.send_directive(id, Directive::Dispatch { target, attempt })
+                Action::Dispatch { id, target, version, attempt } => {
+                    self.send_directive(id, Directive::Dispatch { target, version, attempt })
                 }
                 Action::CancelBatch { id } => self.send_directive(id, Directive::Yield),
                 Action::Cancel { id } => self.send_directive(id, Directive::Cancel),
--- a/crates/borageshed/src/job_work/call.rs
+++ b/crates/borageshed/src/job_work/call.rs
@@ -44,6 +44,7 @@
         deadline: Some(cx.clock.now() + timeout),
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::AnyTarget { after: None },
+        version: None,
         prefix: None,
         shared_parts: platform::ingress::item_shared_parts(item),
         message: Arc::new(Message {
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -130,6 +130,7 @@
     let now = cx.clock.now();
     let mut req = call.dispatch_request(now);
     req.large_reserve_until = now + terms.large_reserve_time;
+    req.version = output.lock().version().cloned();
     // A poison verdict holds for an hour and may be wrong. With the number of verdicts mixed into the fingerprint, an earlier
     // verdict does not apply to the next run.
     for (byte, salt) in req.fingerprint.iter_mut().zip(terms.poison_verdicts.to_le_bytes()) {
@@ -140,10 +141,10 @@
     };
     loop {
         match admission.next().await {
-            Some(Directive::Dispatch { target, .. }) => {
+            Some(Directive::Dispatch { target, version, .. }) => {
                 on_placed();
-                debug!(cx.log, "item placed"; "request" => &call.request_id, "target" => %target);
-                match run_attempt(cx, call, admission, &target, output).await {
+                debug!(cx.log, "item placed"; "request" => &call.request_id, "target" => %target, "version" => %version);
+                match run_attempt(cx, call, admission, (&target, &version), output).await {
                     // The worker selects the next item anew, since another one may be more urgent.
                     AttemptOutcome::Yielded => return AttemptOutcome::Ended(ItemEnd::Interrupted),
                     AttemptOutcome::AwaitDirective(next) => admission = next,
@@ -155,6 +156,10 @@
             Some(Directive::Refuse(refusal)) => {
                 debug!(cx.log, "item put off"; "request" => &call.request_id, "reason" => ?refusal.reason);
                 admission.refused();
+                if refusal.reason == Reason::NoTargetOfVersion {
+                    // What has arrived does not fit to the output of the versions that are left.
+                    *output.lock() = EventData::default();
+                }
                 return refusal_outcome(&refusal);
             }
             Some(Directive::OverRate(_)) | None => {
@@ -168,11 +173,11 @@
     cx: &Shared,
     call: &Call,
     admission: Admission,
-    target: &Name,
+    (target, version): (&Name, &Name),
     output: &SharedOutput,
 ) -> AttemptOutcome {
     let address = cx.directory.address(&call.service, target);
-    let last_event = output.lock().last_id();
+    let last_event = output.lock().begin_attempt(version);
     let req = address.and_then(|it| protocol::request(cx, call, it, target, last_event));
     let (Some(address), Some(req)) = (address, req) else {
         admission.failed_before_send();
--- a/crates/borageshed/src/online/call.rs
+++ b/crates/borageshed/src/online/call.rs
@@ -45,6 +45,8 @@
     pub max_attempts: u32,
     /// How a broken stream is continued.
     pub resumption: Resumption,
+    /// The version that began the stream, if the call continues one.
+    pub version: Option<Name>,
     /// The hash of the prompt prefix.
     pub prefix: Option<u64>,
     /// The hashes of the prompt parts that other requests may share, in the order of the prompt.
@@ -96,6 +98,7 @@
             large_reserve_until: Timestamp::ZERO,
             idempotent: self.idempotent,
             resumable: matches!(self.resumption, Resumption::AnyTarget { .. }),
+            version: self.version.clone(),
             max_attempts: self.max_attempts,
             prefix: self.prefix,
             shared_parts: self.shared_parts.iter().map(|it| self.part_id(*it)).collect(),
--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -2,6 +2,7 @@
 
 use http_edge::framing::BodyError;
 use jobs::PartialOutput;
+use stdx::Name;
 
 use super::events::{EventSplitter, StreamError};
 
@@ -14,12 +15,17 @@
 pub struct EventData {
     splitter: EventSplitter,
     text: String,
+    /// The version of the target that sent the first event, or of the current one before the first event.
+    version: Option<Name>,
 }
 
 impl From<PartialOutput> for EventData {
     fn from(partial: PartialOutput) -> Self {
-        let PartialOutput { text, events, last_event } = partial;
-        Self { splitter: EventSplitter::resume(events, last_event), text }
+        let PartialOutput { text, events, last_event, version } = partial;
+        // An output of an unknown version cannot be continued.
+        let Some(version) = version else { return Self::default() };
+        let splitter = EventSplitter::resume(events, last_event);
+        Self { splitter, text, version: Some(version) }
     }
 }
 
@@ -27,7 +33,25 @@
     /// Returns the whole events, if a run can continue after them.
     pub fn partial_output(&self) -> Option<PartialOutput> {
         let last_event = self.last_id()?;
-        Some(PartialOutput { text: self.text.clone(), events: self.event_count(), last_event })
+        Some(PartialOutput {
+            text: self.text.clone(),
+            events: self.event_count(),
+            last_event,
+            version: self.version.clone(),
+        })
+    }
+
+    /// Records that a target of a version is about to send output, and returns the id of the last event, after which it goes on.
+    pub fn begin_attempt(&mut self, version: &Name) -> Option<u64> {
+        if self.event_count() == 0 {
+            self.version = Some(version.clone());
+        }
+        self.last_id()
+    }
+
+    /// Returns the version of the target that began the output; `None` before the first event.
+    pub fn version(&self) -> Option<&Name> {
+        self.version.as_ref().filter(|_| self.event_count() > 0)
     }
 
     /// Adds a piece of the stream.
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -226,8 +226,8 @@
                 Either::Left((None, _)) | Either::Right(_) => return ResumeOutcome::Failed,
             };
             match directive {
-                Directive::Dispatch { target, .. } => {
-                    if let Some(res) = self.resume_on(&target, last_event).await {
+                Directive::Dispatch { target, version, .. } => {
+                    if let Some(res) = self.resume_on((&target, &version), last_event).await {
                         return ResumeOutcome::Continued(Box::new(res));
                     }
                 }
@@ -238,7 +238,11 @@
     }
 
     /// Requests the rest of the stream from a target; reports the failure if the target does not send it.
-    async fn resume_on(&self, target: &Name, last_event: Option<u64>) -> Option<Response> {
+    async fn resume_on(
+        &self,
+        (target, version): (&Name, &Name),
+        last_event: Option<u64>,
+    ) -> Option<Response> {
         let address = self.cx.directory.address(&self.call.service, target);
         let req =
             address.and_then(|it| protocol::request(&self.cx, &self.call, it, target, last_event));
@@ -275,7 +279,7 @@
         }
         info!(
             self.cx.log, "stream resumed";
-            "request" => &self.call.request_id, "target" => %target, "last_event" => last_event
+            "request" => &self.call.request_id, "target" => %target, "version" => %version, "last_event" => last_event
         );
         self.admission.first_byte();
         Some(res)
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -93,11 +93,11 @@
             Either::Right(_) => return Ended::CallerGone,
         };
         match next {
-            Some(Directive::Dispatch { target, attempt }) => {
+            Some(Directive::Dispatch { target, version, attempt }) => {
                 cx.metrics.attempts.get_or_create(&service_labels(&call)).inc();
                 debug!(
                     cx.log, "request placed";
-                    "request" => &call.request_id, "target" => %target, "attempt" => attempt,
+                    "request" => &call.request_id, "target" => %target, "version" => %version, "attempt" => attempt,
                     "waited_ms" => cx.clock.now().since(received).as_millis() as u64
                 );
                 match attempt::run(cx, &call, admission, &target, caller).await {
--- a/crates/borageshed/src/online/refusal.rs
+++ b/crates/borageshed/src/online/refusal.rs
@@ -23,6 +23,10 @@
             (ProblemKind::Overloaded, "the request would wait longer than it may")
         }
         Reason::NoTarget => (ProblemKind::Overloaded, "no target of the service takes work"),
+        Reason::NoTargetOfVersion => (
+            ProblemKind::Overloaded,
+            "no target of the software version that began the answer is left",
+        ),
         Reason::Poison => (ProblemKind::PoisonRequest, "targets died while they ran this request"),
         Reason::PoisonPart => (
             ProblemKind::Overloaded,
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -141,6 +141,7 @@
             leaving: target.leaving,
             registered: true,
             incarnation: target.started_ms,
+            version: target.version,
         };
         services.entry(target.service).or_default().push(info);
     }
--- a/crates/jobs/src/checkpoint.rs
+++ b/crates/jobs/src/checkpoint.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use stdx::{Timestamp, wire_type};
+use stdx::{Name, Timestamp, wire_type};
 
 /// The time between two transactions that store only partial outputs. Outputs that are stored along with results cost no
 /// further call of the key-value service.
@@ -22,6 +22,9 @@
         pub events: u64,
         /// The id of the last event.
         pub last_event: u64,
+        /// The software version of the target that began the output; `None` if an earlier release stored it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub version: Option<Name>,
     }
 }
 
--- a/crates/jobs/tests/checkpoint.rs
+++ b/crates/jobs/tests/checkpoint.rs
@@ -17,7 +17,12 @@
 const EVENTS: u64 = 220;
 
 fn output(events: u64, bytes: usize) -> PartialOutput {
-    PartialOutput { text: "x".repeat(bytes), events, last_event: events }
+    PartialOutput {
+        text: "x".repeat(bytes),
+        events,
+        last_event: events,
+        version: Some("v1".into()),
+    }
 }
 
 fn checkpoint(items: &[(usize, u64)]) -> Checkpoint {
--- a/crates/policy/examples/dispatch-experiment/baseline.rs
+++ b/crates/policy/examples/dispatch-experiment/baseline.rs
@@ -82,7 +82,12 @@
             let request = self.queue.pop_front().expect("the queue is not empty");
             self.targets[index].1 += 1;
             let target = self.targets[index].0.clone();
-            actions.push(Action::Dispatch { id: request.id, target, attempt: 1 });
+            actions.push(Action::Dispatch {
+                id: request.id,
+                target,
+                version: "".into(),
+                attempt: 1,
+            });
             self.in_flight.insert(request.id, (index, request));
         }
         actions
--- a/crates/policy/examples/dispatch-experiment/cost.rs
+++ b/crates/policy/examples/dispatch-experiment/cost.rs
@@ -96,6 +96,7 @@
         leaving: false,
         registered: false,
         incarnation: 0,
+        version: Name::from(""),
     }
 }
 
@@ -114,6 +115,7 @@
         deadline: Timestamp::from_micros(u64::MAX),
         idempotent: true,
         resumable: false,
+        version: None,
         max_attempts: u32::MAX,
         large_reserve_until: Timestamp::ZERO,
         prefix: Some(id % 64),
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -178,6 +178,7 @@
                 leaving: false,
                 registered: false,
                 incarnation: 0,
+                version: Name::from(""),
             })
             .collect();
         let new_target = || SimTarget {
@@ -348,6 +349,7 @@
             deadline: Timestamp::from_micros(u64::MAX),
             idempotent: true,
             resumable: false,
+            version: None,
             max_attempts: u32::MAX,
             large_reserve_until: Timestamp::ZERO,
             prefix: None,
@@ -382,7 +384,7 @@
     fn apply_actions(&mut self, instance: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Dispatch { id, target, attempt } => {
+                Action::Dispatch { id, target, attempt, .. } => {
                     let target = index_of(&target);
                     let pending = self.pending.get_mut(&id).expect("the request is open");
                     pending.target = target;
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -140,6 +140,10 @@
         }
         let deadline = request.deadline;
         self.enqueue_new(service, request);
+        if self.services[service].lacks_version(&self.requests[&id]) {
+            self.refuse_waiting(id, Reason::NoTargetOfVersion, Duration::ZERO);
+            return self.finish_call(now);
+        }
         self.schedule(now, service);
         let waits = self.requests.get(&id).is_some_and(|it| it.phase == Phase::Queued);
         match wait {
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -229,6 +229,8 @@
         pub registered: bool,
         /// Distinguishes restarts of a target under the same name, as far as the target list does.
         pub incarnation: u64,
+        /// The version of the target's software; empty if unknown. What two versions write does not fit together.
+        pub version: Name,
     }
 }
 
@@ -268,6 +270,7 @@
             leaving: target.leaving,
             registered: false,
             incarnation: 0,
+            version: Name::from(""),
         })
         .collect()
 }
--- a/crates/policy/src/dispatch/invariants.rs
+++ b/crates/policy/src/dispatch/invariants.rs
@@ -70,7 +70,7 @@
             .online
             .queue
             .first_requests()
-            .any(|(_, id)| !self.poison.is_restricted(&self.requests[&id].request.fingerprint));
+            .any(|(_, id)| !self.is_restricted(&self.requests[&id]));
         if !unrestricted {
             return;
         }
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -1,5 +1,7 @@
 //! Handles the results of attempts: completion, retry or a final answer.
 
+use std::time::Duration;
+
 use stdx::{Name, Timestamp};
 
 use super::{
@@ -242,6 +244,8 @@
             || released.result == AttemptResult::Exhausted
         {
             self.refuse_waiting(id, Reason::TargetFailed, retry_after);
+        } else if self.services[released.service].lacks_version(held) {
+            self.refuse_waiting(id, Reason::NoTargetOfVersion, Duration::ZERO);
         } else if now >= held.request.deadline
             || wait.is_none_or(|it| now + it >= held.request.deadline)
         {
--- a/crates/policy/src/dispatch/part_evidence.rs
+++ b/crates/policy/src/dispatch/part_evidence.rs
@@ -19,6 +19,7 @@
             return;
         }
         let Phase::InFlight { since, .. } = held.phase else { return };
+        held.version.get_or_insert_with(|| held.attempt_version.clone());
         let parts = &self.requests[&id].request.shared_parts;
         let Cleared { parts, lifted } = self.parts.record_output(since, parts);
         self.actions.extend(lifted.into_iter().map(|part| Action::LiftPartVerdict { part }));
--- a/crates/policy/src/dispatch/periodic.rs
+++ b/crates/policy/src/dispatch/periodic.rs
@@ -139,6 +139,10 @@
         let waits = state.wait_model(&self.settings, now);
         for class in [Class::Online, Class::Batch] {
             for (entry, ahead) in state.class_state(class).queue.waiting() {
+                if state.lacks_version(&self.requests[&entry.id]) {
+                    late.push((entry.id, Reason::NoTargetOfVersion, Duration::ZERO));
+                    continue;
+                }
                 let wait = match class {
                     Class::Online => waits.behind(ahead),
                     Class::Batch => Some(Duration::ZERO),
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -74,8 +74,8 @@
                 self.place_suspect(now, id);
                 continue;
             }
-            let restricted = self.poison.is_restricted(&fingerprint)
-                || (class == Class::Batch && !held.request.idempotent);
+            let restricted =
+                self.is_restricted(held) || (class == Class::Batch && !held.request.idempotent);
             match self.choose_target(now, id) {
                 Some(target) => self.dispatch(now, id, target),
                 None if restricted => {
@@ -162,11 +162,16 @@
         if !local.is_empty() {
             return Some(pick_target(settings, service, held, &self.preferred(held, &local), salt));
         }
-        let spills = match held.class() {
-            // Batch requests have no estimated wait, and are meant for slots that are idle elsewhere.
-            Class::Batch => now >= settings.warm_up_until,
-            Class::Online => service.estimated_local_wait(settings) > settings.spill_wait,
-        };
+        let can_stay = service
+            .targets
+            .values()
+            .any(|it| it.local && it.will_take_work() && self.may_run(now, held, it));
+        let spills = !can_stay
+            || match held.class() {
+                // Batch requests have no estimated wait, and are meant for slots that are idle elsewhere.
+                Class::Batch => now >= settings.warm_up_until,
+                Class::Online => service.estimated_local_wait(settings) > settings.spill_wait,
+            };
         if spills {
             let remote: Vec<_> = free.iter().copied().filter(|it| !avoided(it)).collect();
             if !remote.is_empty() {
@@ -203,8 +208,16 @@
         }
     }
 
-    /// Returns whether suspicion and idempotency let the request run on the target.
+    /// Returns whether only some of the targets may run the request, because of suspicion or the version that began its answer.
+    pub(super) fn is_restricted(&self, held: &HeldRequest) -> bool {
+        held.version.is_some() || self.poison.is_restricted(&held.request.fingerprint)
+    }
+
+    /// Returns whether version, suspicion and idempotency let the request run on the target.
     pub(super) fn may_run(&self, now: Timestamp, held: &HeldRequest, target: &Target) -> bool {
+        if held.version.as_ref().is_some_and(|it| *it != target.info.version) {
+            return false;
+        }
         let fingerprint = &held.request.fingerprint;
         let is_non_idempotent_batch = held.class() == Class::Batch && !held.request.idempotent;
         if is_non_idempotent_batch && target.non_idempotent_batch > 0 {
@@ -235,6 +248,11 @@
             "no target gets more requests than its limit"
         );
         target_state.allowance.take(now, request.class);
+        let version = target_state.info.version.clone();
+        assert!(
+            held.version.as_ref().is_none_or(|it| *it == version),
+            "an answer goes on only at the version that began it"
+        );
         let as_suspect = self.poison.is_suspect(&request.fingerprint);
         assert!(
             !as_suspect || target_state.own.suspects == 0,
@@ -286,6 +304,7 @@
         held.charged = request.cost.max(1);
         held.dispatched = true;
         held.has_output = false;
+        held.attempt_version = version.clone();
         held.phase =
             Phase::InFlight { target: target.clone(), since: now, stopping: false, as_suspect };
         let target_state = &service.targets[&target];
@@ -294,7 +313,7 @@
         // Without an early heartbeat, peers would fill the target with batch requests above its limit.
         self.heartbeat_wanted |=
             takes_reserve && held.class() == Class::Online && target_state.peers.batch > 0;
-        self.actions.push(Action::Dispatch { id, target, attempt: held.attempt });
+        self.actions.push(Action::Dispatch { id, target, version, attempt: held.attempt });
     }
 
     /// Stops batch requests until one is stopping for each waiting online request.
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -49,6 +49,8 @@
         pub idempotent: bool,
         /// Whether another target may continue the answer where it broke off.
         pub resumable: bool,
+        /// The version of the target that began the answer, if this request continues one: only targets of it may run the request.
+        pub version: Option<Name>,
         /// The most targets that the request may run on.
         pub max_attempts: u32,
         /// The hash of the prompt prefix; requests with the same prefix prefer the same target.
@@ -69,6 +71,8 @@
             id: u64,
             /// The name of the target within the request's service.
             target: Name,
+            /// The version of the target.
+            version: Name,
             /// The number of the attempt, starting at one; a preempted attempt is not counted.
             attempt: u32,
         },
@@ -237,6 +241,8 @@
         WaitTooLong,
         /// The service is unknown or has no target that will take work before the deadline.
         NoTarget,
+        /// The answer has begun, and no target of the version that began it is left.
+        NoTargetOfVersion,
         /// Two targets died while they ran requests with this fingerprint.
         Poison,
         /// A part of the prompt crashed several targets.
--- a/crates/policy/src/dispatch/service.rs
+++ b/crates/policy/src/dispatch/service.rs
@@ -49,6 +49,10 @@
     pub sent: bool,
     /// Whether a byte of the answer arrived in any attempt.
     pub answered: bool,
+    /// The version that began the answer; `None` before the first output.
+    pub version: Option<Name>,
+    /// The version of the target of the current attempt.
+    pub attempt_version: Name,
     /// Whether output of the current attempt arrived.
     pub has_output: bool,
     /// Whether the request was dispatched at all.
@@ -93,6 +97,8 @@
 impl HeldRequest {
     pub fn new(request: Request, service: usize) -> Self {
         Self {
+            version: request.version.clone(),
+            attempt_version: Name::from(""),
             request,
             service,
             phase: Phase::Queued,
@@ -152,6 +158,13 @@
         }
     }
 
+    /// Returns whether a request waits for targets of a version of which none will take work any more.
+    pub fn lacks_version(&self, held: &HeldRequest) -> bool {
+        let Some(version) = &held.version else { return false };
+        let mut remaining = self.targets.values().filter(|it| it.will_take_work());
+        !remaining.any(|it| it.info.version == *version)
+    }
+
     /// Returns the number of batch requests that were told to stop on targets that take work.
     pub fn stopping(&self) -> usize {
         let usable = self.targets.values().filter(|it| it.takes_work());
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -144,6 +144,11 @@
         self.listed && !matches!(state, HealthState::HeldDown | HealthState::Leaving)
     }
 
+    /// Returns whether the target takes new work now or may do so later.
+    pub fn will_take_work(&self) -> bool {
+        self.listed && self.health.state() != HealthState::Leaving
+    }
+
     /// Returns whether the target has room for such a request now.
     pub fn has_room(&self, settings: &Settings, need: Need) -> bool {
         if !self.takes_work() || self.is_full || !self.allowance.has_token(need.class()) {
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -33,6 +33,7 @@
         leaving: false,
         registered: false,
         incarnation: 0,
+        version: Name::from(""),
     }
 }
 
@@ -52,6 +53,7 @@
         large_reserve_until: Timestamp::ZERO,
         idempotent: true,
         resumable: false,
+        version: None,
         max_attempts: u32::MAX,
         prefix: None,
         shared_parts: Vec::new(),
