Let callers take streams up only at the version that began them

Each instance remembers which version began the streams that it forwards, by the attempt that brought the first event. While several versions serve, or one has left lately, it also tells two of the daemons that run items, chosen by the stream's identity; an instance that does not know a stream asks those. If only one version can have begun it, nobody is asked. An instance that has just started cannot see what has left, so one daemon stores the versions of each service when they change (one write; one read at each start). An attempt that nobody knows, or whose version has left, gets 503 at once, so that the caller starts anew: nothing is guessed.

--- a/crates/borageshed/src/api/inference.rs
+++ b/crates/borageshed/src/api/inference.rs
@@ -77,6 +77,7 @@
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::SameTarget,
         version: None,
+        first_attempt: None,
         prefix: Some(prepared.prefix),
         shared_parts: Vec::new(),
         message: Arc::new(Message {
--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -9,8 +9,9 @@
 };
 use http_types::{Response, StatusCode, headers::HeaderValue};
 use platform::ingress::{self, RequestHints};
-use policy::dispatch::Class;
+use policy::{dispatch::Class, versions::StreamId};
 use slog::info;
+use stdx::Name;
 use twox_hash::XxHash64;
 
 use super::{
@@ -82,20 +83,55 @@
         headers: forwarded_headers(&req, &host),
         body,
     };
-    let call = build_call(&cx, &route, service, identity.as_ref(), hints, message);
+    let version = version_to_continue(&cx, &route, &service, &hints).await?;
+    let call = build_call(&cx, &route, (service, version), identity.as_ref(), hints, message);
     let request_id = call.request_id.clone();
     into_answer(online::run(&cx, call, &caller).await, &request_id)
 }
 
+/// Returns the version that began the stream which a request takes up; `None` if it takes up none.
+///
+/// # Errors
+///
+/// Fails if the version is not known. The request has not run, and the caller can start anew.
+async fn version_to_continue(
+    cx: &Shared,
+    route: &HostRoute,
+    service: &QualifiedName,
+    hints: &RequestHints,
+) -> Result<Option<Name>> {
+    let is_resumable = matches!(route.call, CallKind::Stream { resumable: true, .. });
+    if !is_resumable || hints.last_event.is_none() {
+        return Ok(None);
+    }
+    let stream = hints.first_attempt.as_ref().map(|it| StreamId::of(service, it));
+    let version = cx.streams.find_version(cx, service, stream, route.timeout).await;
+    info!(
+        cx.log, "stream taken up";
+        "request" => &hints.request_id, "first_attempt" => hints.first_attempt.as_deref(),
+        "last_event" => hints.last_event, "version" => version.as_ref().map(|it| it.to_string())
+    );
+    match version {
+        Some(version) => Ok(Some(version)),
+        None => {
+            let detail = "it is not known which software version began the stream";
+            Err(Problem::new(ProblemKind::Overloaded, Execution::NotRun, detail)
+                .with_retry_after(MIN_RETRY_AFTER))
+        }
+    }
+}
+
 fn raw_target(req: &Request) -> RawTarget {
     let stored = req.ext::<RawTarget>().cloned();
     stored.unwrap_or_else(|| RawTarget::new(req.url().path()))
 }
 
-/// Chooses one of the services of a route by the request id, so that a resend may reach another one.
+/// Chooses one of the services of a route by the request id, so that a resend may reach another one, but a stream that is taken up
+/// reaches the same.
 fn choose_service(route: &HostRoute, hints: &RequestHints) -> Result<QualifiedName> {
     const SEED: u64 = 0;
-    let draw = XxHash64::oneshot(SEED, hints.request_id.as_bytes());
+    let first_attempt = hints.first_attempt.as_ref().unwrap_or(&hints.request_id);
+    let draw = XxHash64::oneshot(SEED, first_attempt.as_bytes());
     route.backend(draw).cloned().ok_or_else(|| {
         let detail = "the route has no service";
         Problem::new(ProblemKind::Overloaded, Execution::NotRun, detail)
@@ -119,7 +155,7 @@
 fn build_call(
     cx: &Shared,
     route: &HostRoute,
-    service: QualifiedName,
+    (service, version): (QualifiedName, Option<Name>),
     identity: Option<&Identity>,
     hints: RequestHints,
     message: Message,
@@ -153,7 +189,8 @@
         deadline: Some(cx.clock.now() + timeout),
         max_attempts: route.max_attempts,
         resumption,
-        version: None,
+        version,
+        first_attempt: hints.first_attempt,
         prefix: hints.shared_prefix.filter(|_| route.affinity),
         shared_parts: hints.shared_parts,
         message: Arc::new(message),
--- a/crates/borageshed/src/api/plain.rs
+++ b/crates/borageshed/src/api/plain.rs
@@ -167,6 +167,7 @@
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::SameTarget,
         version: None,
+        first_attempt: None,
         prefix: None,
         shared_parts: Vec::new(),
         message: Arc::new(message),
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -35,7 +35,7 @@
     retirement,
     settings::{FleetSource, Settings},
     shared::{Parts, Shared},
-    silence, summary, verdicts,
+    silence, streams, summary, verdicts,
 };
 
 /// How long a drain waits for the release of the rate slots. Slots that are not released lapse on their own.
@@ -130,6 +130,7 @@
             task::spawn(operator::follow_configuration(Arc::clone(&cx)));
             task::spawn(operator::catch_up_with_peers(Arc::clone(&cx), peer_revisions_rx));
             task::spawn(operator::follow_targets(Arc::clone(&cx)));
+            task::spawn(streams::run(Arc::clone(&cx)));
         }
     }
     match cx.settings.source {
--- a/crates/borageshed/src/job_work/call.rs
+++ b/crates/borageshed/src/job_work/call.rs
@@ -45,6 +45,7 @@
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::AnyTarget { after: None },
         version: None,
+        first_attempt: None,
         prefix: None,
         shared_parts: platform::ingress::item_shared_parts(item),
         message: Arc::new(Message {
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`leases`]: renews leases of the key-value service.
 //! - [`load_reports`]: reads the load that targets report.
 //! - [`membership`], [`peers`], [`loans`], [`suspects`]: communication with other daemons.
+//! - [`streams`]: which software version began a caller's stream.
 //! - [`target_limits`]: messages about targets that limit the requests of all instances together.
 //! - [`silence`]: resets silent connections to targets.
 //! - [`verdicts`]: stores verdicts on requests and prompt parts that crash targets.
@@ -53,6 +54,7 @@
 pub mod shared;
 pub mod silence;
 pub mod status;
+pub mod streams;
 pub mod summary;
 pub mod suspects;
 pub mod target_limits;
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -72,7 +72,7 @@
     cx: &Arc<Shared>,
     call: &Call,
     admission: Admission,
-    target: &Name,
+    (target, version): (&Name, &Name),
     caller: &Caller,
 ) -> AttemptEnd {
     let address = cx.directory.address(&call.service, target);
@@ -120,6 +120,7 @@
         call: call.clone(),
         address,
         target: target.clone(),
+        version: version.clone(),
         admission,
         caller: caller.clone(),
         started,
--- a/crates/borageshed/src/online/call.rs
+++ b/crates/borageshed/src/online/call.rs
@@ -8,6 +8,7 @@
 use policy::{
     dispatch::{self, Class, Fingerprint, PartId},
     rate::AccountId,
+    versions::StreamId,
 };
 use sha2::{Digest, Sha256};
 use stdx::{Name, Timestamp};
@@ -47,6 +48,8 @@
     pub resumption: Resumption,
     /// The version that began the stream, if the call continues one.
     pub version: Option<Name>,
+    /// The id of the attempt that brought the first event, if the call continues a stream.
+    pub first_attempt: Option<String>,
     /// The hash of the prompt prefix.
     pub prefix: Option<u64>,
     /// The hashes of the prompt parts that other requests may share, in the order of the prompt.
@@ -119,6 +122,11 @@
         }
     }
 
+    /// Returns the identity of the stream that the call begins or continues.
+    pub fn stream_id(&self) -> StreamId {
+        StreamId::of(&self.service, self.first_attempt.as_ref().unwrap_or(&self.request_id))
+    }
+
     /// Returns the time left for the answer.
     pub fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.map_or(self.timeout, |it| it.since(now))
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -51,6 +51,8 @@
     pub address: SocketAddr,
     /// The target that began the answer.
     pub target: Name,
+    /// The version of that target.
+    pub version: Name,
     /// Reports the progress of the request to the control thread.
     pub admission: Admission,
     /// The caller's connection.
@@ -126,6 +128,7 @@
         let mut resumes = 0;
         // Events of the current attempt follow those of the attempts before it.
         let (mut events_before, mut has_output) = (0, false);
+        let mut version = self.version.clone();
         let mut buf = vec![0; MAX_PIECE_BYTES];
         loop {
             match self.read_events(&mut res, &mut buf, &mut splitter).await {
@@ -133,6 +136,7 @@
                     if !has_output && splitter.event_count() > events_before {
                         has_output = true;
                         self.admission.output_begun();
+                        self.record_origin(&version);
                     }
                     // After a resumption on any target, `self.target` may not be the target that sends the stream.
                     if !is_resumed {
@@ -169,9 +173,9 @@
                         }
                     };
                     match resumed {
-                        ResumeOutcome::Continued(next) => {
+                        ResumeOutcome::Continued(next, next_version) => {
                             (events_before, has_output) = (splitter.event_count(), false);
-                            res = *next;
+                            (res, version) = (*next, next_version);
                         }
                         ResumeOutcome::Failed => {
                             self.deliver_error_event(&tx).await;
@@ -196,6 +200,13 @@
         }
     }
 
+    /// Remembers which version began the stream, in case its caller takes it up. Called before the first event is delivered.
+    fn record_origin(&self, version: &Name) {
+        if matches!(self.call.resumption, Resumption::AnyTarget { .. }) {
+            self.cx.streams.record(&self.cx, &self.call.service, self.call.stream_id(), version);
+        }
+    }
+
     /// Sends the error event to callers that expect one.
     async fn deliver_error_event(&self, tx: &Sender) {
         match self.cx.settings.source {
@@ -228,7 +239,7 @@
             match directive {
                 Directive::Dispatch { target, version, .. } => {
                     if let Some(res) = self.resume_on((&target, &version), last_event).await {
-                        return ResumeOutcome::Continued(Box::new(res));
+                        return ResumeOutcome::Continued(Box::new(res), version);
                     }
                 }
                 Directive::Yield | Directive::Cancel => {}
@@ -305,7 +316,9 @@
             self.cx.log, "stream broke";
             "request" => &self.call.request_id, "events" => from, "resumed" => resumed.is_some(), "error" => %error
         );
-        resumed.map_or(ResumeOutcome::Failed, |it| ResumeOutcome::Continued(Box::new(it)))
+        resumed.map_or(ResumeOutcome::Failed, |it| {
+            ResumeOutcome::Continued(Box::new(it), self.version.clone())
+        })
     }
 
     fn resume_request(&self, engine_request_id: &str, from: u64) -> Option<Request> {
@@ -398,8 +411,8 @@
 
 /// The outcome of an attempt to resume a broken stream.
 enum ResumeOutcome {
-    /// The target sends the rest of the stream.
-    Continued(Box<Response>),
+    /// A target of this version sends the rest of the stream.
+    Continued(Box<Response>, Name),
     /// The stream cannot be continued; the failure has not been reported to the control thread yet.
     Failed,
     /// The control thread refused the request.
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -100,7 +100,7 @@
                     "request" => &call.request_id, "target" => %target, "version" => %version, "attempt" => attempt,
                     "waited_ms" => cx.clock.now().since(received).as_millis() as u64
                 );
-                match attempt::run(cx, &call, admission, &target, caller).await {
+                match attempt::run(cx, &call, admission, (&target, &version), caller).await {
                     AttemptEnd::Answered(res) => return Ended::Answered(res),
                     AttemptEnd::Final(problem) => return Ended::Refused(problem),
                     AttemptEnd::CallerGone => return Ended::CallerGone,
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -1,6 +1,10 @@
 //! Follows the configuration and the targets that the platform's operator declares.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::task;
 use fleet::QualifiedName;
@@ -11,6 +15,7 @@
 };
 use policy::dispatch::TargetInfo;
 use slog::{error, info, warn};
+use stdx::Name;
 
 use crate::{
     config_sync::{self, PeerRevision},
@@ -132,6 +137,11 @@
     let name =
         |it: &RegisteredTarget| TargetName { service: it.service.clone(), target: it.id.clone() };
     cx.directory.set(TargetTable::new(targets.iter().map(|it| (name(it), it.address))));
+    let mut versions: BTreeMap<QualifiedName, BTreeSet<Name>> = BTreeMap::new();
+    for target in &targets {
+        versions.entry(target.service.clone()).or_default().insert(target.version.clone());
+    }
+    cx.streams.observe(cx, &versions);
     let mut services: BTreeMap<QualifiedName, Vec<TargetInfo>> = BTreeMap::new();
     for target in targets {
         let info = TargetInfo {
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! - `loads`: reports of requests in flight between daemons.
 //! - `pending`: tracks questions to other daemons until they are answered.
 //! - `reads`: reads of the key-value service through relays.
+//! - `streams`: questions about the software versions that began callers' streams.
 //! - `store_calls`: calls to the key-value service for daemons that cannot reach it.
 
 mod configuration;
@@ -16,6 +17,7 @@
 mod pending;
 mod reads;
 mod store_calls;
+mod streams;
 
 use std::{
     collections::BTreeMap,
@@ -32,19 +34,23 @@
 use overlay::{Frame, LoadReports, Member, Report, Role, RoutingAction};
 use peer::{
     ClearedParts, Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled, JobRequest,
-    Leaving, LinkRole, Loads, Message, PartCrash, PartVerdict, PeerEvent, PoisonVerdict, SendError,
-    message,
+    Leaving, LinkRole, Loads, Message, OriginAnswer, OriginRequest, PartCrash, PartVerdict,
+    PeerEvent, PoisonVerdict, SendError, message,
 };
 use policy::{
     dispatch::{Claim, Event, Fingerprint, LimitNews, PartId, Suspicion},
     rate::RateMessage,
+    versions::StreamId,
 };
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
 
 pub use links::{PeerInfo, millicores};
 
-use self::{jobs::JobQuestions, links::Links, reads::Reads, store_calls::StoreCalls};
+use self::{
+    jobs::JobQuestions, links::Links, pending::PendingQuestions, reads::Reads,
+    store_calls::StoreCalls,
+};
 use crate::{
     config_sync::PeerRevision, control::ControlEvent, loans, metrics::PeerLabels, shared::Shared,
     status::OverlayStatus, suspects, target_limits,
@@ -72,6 +78,7 @@
     reads: Reads,
     jobs: JobQuestions,
     store_calls: StoreCalls,
+    origins: PendingQuestions<OriginAnswer>,
     /// The latest load reports of other daemons, which a relay sums up.
     load_reports: Mutex<LoadReports>,
     /// The number of rounds of load reports so far.
@@ -116,6 +123,7 @@
             reads: Reads::default(),
             jobs: JobQuestions::default(),
             store_calls: StoreCalls::default(),
+            origins: PendingQuestions::default(),
             load_reports: Mutex::default(),
             load_round: AtomicU64::new(0),
             load_shared_at: Mutex::default(),
@@ -322,6 +330,7 @@
                 peers.inner.reads.pending.on_link_lost(&peer);
                 peers.inner.jobs.pending.on_link_lost(&peer);
                 peers.inner.store_calls.pending.on_link_lost(&peer);
+                peers.inner.origins.on_link_lost(&peer);
                 peers.load_reports().forget(&peer);
                 peers.update_links(&cx);
             }
@@ -444,6 +453,12 @@
         Message::JobRequest(JobRequest { id, .. }) => {
             peers.answer_about_job(&from, JobAnswer { id, ..JobAnswer::default() });
         }
+        Message::StreamOrigin(origin) => cx.streams.on_origin(cx, origin),
+        Message::OriginRequest(OriginRequest { id, stream }) => {
+            let version = cx.streams.known_version(StreamId(stream));
+            peers.answer_about_origin(&from, id, version);
+        }
+        Message::OriginAnswer(answer) => peers.inner.origins.on_answer(answer.id, answer),
         Message::JobAnswer(answer) => peers.inner.jobs.pending.on_answer(answer.id, answer),
         message @ (Message::LoanRequest(_) | Message::LoanGrant(_) | Message::LoanReturn(_)) => {
             if let Some(message) = loans::from_wire(message) {
--- /dev/null
+++ b/crates/borageshed/src/peers/streams.rs
@@ -0,0 +1,38 @@
+//! Questions to other daemons about the software versions that began callers' streams.
+
+use std::time::Duration;
+
+use peer::{Message, OriginAnswer, OriginRequest, StreamOrigin};
+use policy::versions::StreamId;
+use stdx::Name;
+
+use super::Peers;
+use crate::directory::ServiceId;
+
+/// How long a daemon may take to answer. Answers come from memory.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl Peers {
+    /// Tells a daemon which version began a stream of a service.
+    pub fn send_origin(&self, to: &Name, service: ServiceId, stream: StreamId, version: &Name) {
+        let origin =
+            StreamOrigin { service: service.0, stream: stream.0, version: version.to_string() };
+        self.send(Some(to), &Message::StreamOrigin(origin));
+    }
+
+    /// Asks a daemon which version began a stream. Returns `None` if it does not answer in time or does not know.
+    pub async fn ask_for_origin(&self, of: &Name, stream: StreamId) -> Option<Name> {
+        let send = |id| {
+            let req = OriginRequest { id, stream: stream.0 };
+            self.send(Some(of), &Message::OriginRequest(req))
+        };
+        let answer = self.inner.origins.ask(of, ANSWER_TIMEOUT, send).await?;
+        answer.version.map(Name::from)
+    }
+
+    /// Answers a question about the version that began a stream.
+    pub(super) fn answer_about_origin(&self, to: &Name, id: u64, version: Option<Name>) {
+        let answer = OriginAnswer { id, version: version.map(|it| it.to_string()) };
+        self.send(Some(to), &Message::OriginAnswer(answer));
+    }
+}
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -22,7 +22,7 @@
 use crate::{
     batch_work, burn::BurnCounters, clock::Clock, control::ControlHandle, directory::Directory,
     in_force, job_cache::JobCache, logging::DroppedLines, metrics::Metrics, peers::Peers,
-    settings::Settings,
+    settings::Settings, streams::Streams,
 };
 
 /// The context of every task of a daemon.
@@ -59,6 +59,8 @@
     pub peers: OnceLock<Peers>,
     /// The addresses of the targets.
     pub directory: Directory,
+    /// The versions of targets and the origins of streams.
+    pub streams: Streams,
     /// The batch work.
     pub batch: batch_work::Handle,
     /// Set when the daemon has begun to drain.
@@ -118,6 +120,7 @@
             job_cache: JobCache::default(),
             peers: OnceLock::new(),
             directory: Directory::default(),
+            streams: Streams::default(),
             batch: batch_work::Handle::default(),
             draining: Signal::new(),
             retiring: Signal::new(),
--- /dev/null
+++ b/crates/borageshed/src/streams.rs
@@ -0,0 +1,222 @@
+//! Which software version began a caller's stream, so that the stream goes on only at that version, whichever instance the caller
+//! takes it up at.
+//!
+//! While several versions serve, and shortly after, each instance tells two daemons that run items which version began a stream; these
+//! daemons usually survive the loss of all instances that admit callers. Which versions have served lately is also stored in the
+//! key-value service: an instance that starts cannot see which version has just left.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use async_std::task;
+use fleet::QualifiedName;
+use kv_store::{Outcome, Revision};
+use peer::StreamOrigin;
+use policy::versions::{
+    MIXED_WINDOW, StoredHistory, StreamId, StreamOrigins, VersionHistory, holders,
+};
+use slog::{debug, info, warn};
+use stdx::{Name, Timestamp};
+
+use crate::{clock, directory::ServiceId, shared::Shared};
+
+/// The key of the stored history.
+const HISTORY_KEY: &str = "versions";
+/// The interval at which the history is compared with the stored one.
+const STORE_INTERVAL: Duration = Duration::from_secs(1);
+/// How much longer than its timeout a caller's request may last, including earlier attempts.
+const AGE_SLACK: Duration = Duration::from_secs(2);
+/// How long an instance that has just started, and may not have links yet, asks for the origin of a stream.
+const MAX_SEARCH: Duration = Duration::from_millis(600);
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What this instance knows about versions and streams.
+#[derive(Debug, Default)]
+pub struct Streams {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    history: VersionHistory,
+    origins: StreamOrigins,
+    /// Whether targets have been listed.
+    has_targets: bool,
+}
+
+impl Streams {
+    /// Records the versions of the registered targets.
+    pub fn observe(&self, cx: &Shared, serving: &BTreeMap<QualifiedName, BTreeSet<Name>>) {
+        let now = cx.clock.now();
+        let mut state = self.lock();
+        let mixed = state.history.observe(now, serving);
+        state.has_targets = true;
+        let mut shared = Vec::new();
+        for service in mixed {
+            info!(cx.log, "several versions serve or have served lately"; "service" => %service);
+            let recent = state.origins.recent(&service, now, MIXED_WINDOW);
+            shared.extend(recent.map(|(stream, it)| (service.clone(), stream, it.clone())));
+        }
+        drop(state);
+        for (service, stream, version) in shared {
+            tell_holders(cx, &service, stream, &version);
+        }
+    }
+
+    /// Records that a target of a version sent the first event of a stream.
+    pub fn record(&self, cx: &Shared, service: &QualifiedName, stream: StreamId, version: &Name) {
+        let now = cx.clock.now();
+        let mut state = self.lock();
+        state.origins.record(now, stream, service.clone(), version.clone());
+        let is_mixed = state.history.is_mixed(service, now);
+        drop(state);
+        if is_mixed {
+            tell_holders(cx, service, stream, version);
+        }
+    }
+
+    /// Records the origin of a stream that a peer reports.
+    pub fn on_origin(&self, cx: &Shared, origin: StreamOrigin) {
+        let table = cx.directory.snapshot();
+        let Some(service) = table.service(ServiceId(origin.service)) else { return };
+        let (stream, version) = (StreamId(origin.stream), Name::from(origin.version));
+        self.lock().origins.record(cx.clock.now(), stream, service.clone(), version);
+    }
+
+    /// Returns the version that began a stream, as far as this instance has seen or was told.
+    pub fn known_version(&self, stream: StreamId) -> Option<Name> {
+        self.lock().origins.version(stream).cloned()
+    }
+
+    /// Returns the version that began a stream which a caller takes up; `None` if it cannot be found out.
+    pub async fn find_version(
+        &self,
+        cx: &Shared,
+        service: &QualifiedName,
+        stream: Option<StreamId>,
+        timeout: Duration,
+    ) -> Option<Name> {
+        let started = cx.clock.now();
+        loop {
+            if let Some(version) = stream.and_then(|it| self.known_version(it)) {
+                return Some(version);
+            }
+            let now = cx.clock.now();
+            if let Some(only) = self.only_version(service, now, timeout + AGE_SLACK) {
+                return Some(only);
+            }
+            if let Some(version) = ask_holders(cx, stream?).await {
+                return Some(version);
+            }
+            // An instance that runs for longer has its links.
+            let is_new = started.since(Timestamp::ZERO) < MIXED_WINDOW;
+            if !is_new || cx.clock.now().since(started) >= MAX_SEARCH {
+                return None;
+            }
+            task::sleep(SEARCH_INTERVAL).await;
+        }
+    }
+
+    fn only_version(
+        &self,
+        service: &QualifiedName,
+        now: Timestamp,
+        max_age: Duration,
+    ) -> Option<Name> {
+        self.lock().history.only_version(service, now, max_age).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reads the stored history and keeps it up to date until the daemon stops.
+pub async fn run(cx: Arc<Shared>) {
+    let mut stored: Option<(Revision, StoredHistory)> = None;
+    loop {
+        task::sleep(STORE_INTERVAL / 10).await;
+        if !cx.streams.lock().has_targets {
+            continue;
+        }
+        match &mut stored {
+            None => stored = load(&cx).await,
+            Some(stored) => {
+                if is_writer(&cx) {
+                    store_changes(&cx, stored).await;
+                }
+            }
+        }
+        task::sleep(STORE_INTERVAL).await;
+    }
+}
+
+async fn load(cx: &Shared) -> Option<(Revision, StoredHistory)> {
+    let entry = match cx.store.get(HISTORY_KEY).await {
+        Ok(entry) => entry,
+        Err(e) => {
+            debug!(cx.log, "history of versions not read"; "error" => %e);
+            return None;
+        }
+    };
+    let mut state = cx.streams.lock();
+    let Some(entry) = entry else { return Some((Revision(0), StoredHistory::default())) };
+    match serde_json::from_slice::<StoredHistory>(&entry.value) {
+        Ok(history) => {
+            state.history.merge(cx.clock.now(), clock::unix_millis(), &history);
+            Some((entry.mod_revision, history))
+        }
+        Err(e) => {
+            warn!(cx.log, "stored history of versions cannot be decoded"; "error" => %e);
+            Some((entry.mod_revision, StoredHistory::default()))
+        }
+    }
+}
+
+/// Stores the history if the versions have changed. Times at which versions left are not compared, since they shift with the clocks.
+async fn store_changes(cx: &Shared, (revision, stored): &mut (Revision, StoredHistory)) {
+    let history = cx.streams.lock().history.to_stored(cx.clock.now(), clock::unix_millis());
+    let current = |it: &StoredHistory| -> Vec<_> {
+        it.services.iter().map(|(name, it)| (name.clone(), it.current.clone())).collect()
+    };
+    if current(&history) == current(stored) {
+        return;
+    }
+    let Ok(value) = serde_json::to_vec(&history) else { return };
+    match cx.store.compare_and_swap(HISTORY_KEY, *revision, &value).await {
+        Ok(Outcome::Won(written)) => {
+            info!(cx.log, "history of versions stored"; "services" => history.services.len());
+            (*revision, *stored) = (written, history);
+        }
+        // Another daemon wrote, or may have; the next round writes over the newer record.
+        Ok(Outcome::Lost(entry)) => *revision = entry.map_or(Revision(0), |it| it.mod_revision),
+        Ok(Outcome::Unknown) => warn!(cx.log, "unknown whether the history of versions was stored"),
+        Err(e) => debug!(cx.log, "history of versions not stored"; "error" => %e),
+    }
+}
+
+/// Returns whether this daemon stores the history for all.
+fn is_writer(cx: &Shared) -> bool {
+    cx.item_runners().first() == Some(&cx.settings.instance)
+}
+
+fn tell_holders(cx: &Shared, service: &QualifiedName, stream: StreamId, version: &Name) {
+    let Some(peers) = cx.peers.get() else { return };
+    for holder in holders(&cx.item_runners(), stream) {
+        peers.send_origin(&holder, ServiceId::of(service), stream, version);
+    }
+}
+
+/// Asks the daemons that keep the origin of a stream, the second one only if the first does not know it.
+async fn ask_holders(cx: &Shared, stream: StreamId) -> Option<Name> {
+    let peers = cx.peers.get()?;
+    for holder in holders(&cx.item_runners(), stream) {
+        if let Some(version) = peers.ask_for_origin(&holder, stream).await {
+            return Some(version);
+        }
+    }
+    None
+}
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -84,6 +84,13 @@
         start(&self.folder, name, &settings(self.platform.address(), self.ip, name, port))
     }
 
+    /// Crashes the entry daemon, starts it again and waits until it is ready.
+    pub async fn restart_entry(&mut self) -> io::Result<()> {
+        self.entry.crash();
+        self.entry = start_process(&self.folder, "entry", "entry-2.log")?;
+        self.wait_until_ready(8_000).await
+    }
+
     /// Starts the worker daemon again after a crash.
     pub fn restart_worker(&self) -> io::Result<Process> {
         start_process(&self.folder, "worker", "worker-2.log")
--- a/crates/borageshed/tests/versions.rs
+++ b/crates/borageshed/tests/versions.rs
@@ -113,6 +113,31 @@
     Ok(())
 }
 
+// Guards against instances that have all just started, do not know which version began a stream, or that an old one has just left, and
+// join two versions or refuse what they could find out.
+#[async_std::test]
+async fn a_stream_that_is_taken_up_after_a_kill_of_all_entry_daemons_goes_on_at_its_version()
+-> io::Result<()> {
+    let old = Target::start(Behaviour::BreakAfter(3)).await?;
+    let new = Target::start(Behaviour::BreakAfter(3)).await?;
+    let mut site = site_with_broken_stream(&old, &new).await?;
+    site.restart_entry().await?;
+    let went_on = async || {
+        let reply = take_up(site.callers(), "e-1", "r-1").await;
+        reply.status == 200 && continued(&old).contains(&"3".to_owned())
+    };
+    wait_until("the stream goes on", went_on).await?;
+    operator::unregister(&site.platform, "t-1");
+    task::sleep(Duration::from_millis(500)).await;
+    site.restart_entry().await?;
+    for n in 0..4 {
+        let reply = take_up(site.callers(), &format!("l-{n}"), "r-1").await;
+        assert_eq!(reply.status, 503, "no target of the version is left");
+    }
+    assert_eq!(continued(&new), Vec::<String>::new(), "the new version was asked to go on");
+    Ok(())
+}
+
 // Guards against a daemon that guesses the version of an attempt of which nobody knows.
 #[async_std::test]
 async fn an_attempt_that_nobody_knows_is_not_taken_up_while_two_versions_serve() -> io::Result<()> {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,8 +16,9 @@
 pub use message::{
     ClearedParts, ClosedLoan, ConfigChunk, ConfigFetch, Flood, Forward, Heartbeat, Hello,
     JobAccepted, JobAnswer, JobCancelled, JobRequest, JobStatus, Leaving, LinkRole, LoadPart,
-    Loads, LoanGrant, LoanRequest, LoanReturn, Message, PartCrash, PartVerdict, PoisonSuspicion,
-    PoisonVerdict, ReadAnswer, ReadRequest, ReadStatus, StoreCall, StoreCallAnswer,
-    StoreCallOutcome, StoreMethod, StoredItem, SuspectClaim, SuspectState, TargetLimit,
+    Loads, LoanGrant, LoanRequest, LoanReturn, Message, OriginAnswer, OriginRequest, PartCrash,
+    PartVerdict, PoisonSuspicion, PoisonVerdict, ReadAnswer, ReadRequest, ReadStatus, StoreCall,
+    StoreCallAnswer, StoreCallOutcome, StoreMethod, StoredItem, StreamOrigin, SuspectClaim,
+    SuspectState, TargetLimit,
 };
 pub use stats::Stats;
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -9,6 +9,7 @@
 //! - [`loans`]: loans of rate-limit tokens.
 //! - [`poison`]: requests that crash targets.
 //! - [`reads`]: reads of the key-value service through relays.
+//! - [`streams`]: the software versions that began callers' streams.
 
 pub mod calls;
 pub mod config;
@@ -19,6 +20,7 @@
 pub mod loans;
 pub mod poison;
 pub mod reads;
+pub mod streams;
 
 use bytes::Bytes;
 use prost::Message as _;
@@ -36,6 +38,7 @@
     SuspectState,
 };
 pub use reads::{ReadAnswer, ReadRequest, ReadStatus, StoredItem};
+pub use streams::{OriginAnswer, OriginRequest, StreamOrigin};
 
 /// The largest frame, in bytes; a configuration chunk takes at most half of it.
 pub const MAX_FRAME: usize = 512 << 10;
@@ -130,13 +133,22 @@
     /// Reports the limit of a target.
     #[prost(message, tag = "28")]
     TargetLimit(TargetLimit),
+    /// Reports the version that began a stream.
+    #[prost(message, tag = "29")]
+    StreamOrigin(StreamOrigin),
+    /// Asks for the version that began a stream.
+    #[prost(message, tag = "30")]
+    OriginRequest(OriginRequest),
+    /// Answers with the version that began a stream.
+    #[prost(message, tag = "31")]
+    OriginAnswer(OriginAnswer),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31"
     )]
     message: Option<Message>,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,10 @@
 //! - [`dispatch`]: queues, routing, target health, retries and poison requests.
 //! - [`rate`]: the shares and loans that keep an account within its rate and burst over all instances.
 //! - [`slots`]: which instance holds which share of every account's rate.
+//! - [`versions`]: the software versions of targets, and which of them began a caller's stream.
 
 pub mod auth;
 pub mod dispatch;
 pub mod rate;
 pub mod slots;
+pub mod versions;
