Serve requests that can still meet their objective first

In an overload, which targets with limits now cause, requests were served in the order of arrival within an account, so that each waited until it was too late for it, though the targets could have served half of them in time.

Requests whose age passes half of their route's objective now go behind the others of their account; the other half is left to the target. Fairness between accounts is as before. The objective was declared by routes already, but did not reach the dispatcher.

--- a/crates/borageshed/src/api/inference.rs
+++ b/crates/borageshed/src/api/inference.rs
@@ -73,6 +73,7 @@
         cost: prepared.cost,
         idempotent: true,
         timeout,
+        objective: None,
         deadline: None,
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::SameTarget,
--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -186,6 +186,7 @@
         cost,
         idempotent: route.call.is_idempotent(),
         timeout,
+        objective: Some(route.objective),
         deadline: Some(cx.clock.now() + timeout),
         max_attempts: route.max_attempts,
         resumption,
--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -99,6 +99,7 @@
         cost: 1,
         bytes: 0,
         deadline: cx.clock.now() + STORE_TIMEOUT,
+        due: Timestamp::from_micros(u64::MAX),
         large_reserve_until: Timestamp::ZERO,
         idempotent: true,
         resumable: false,
--- a/crates/borageshed/src/api/plain.rs
+++ b/crates/borageshed/src/api/plain.rs
@@ -163,6 +163,7 @@
         cost: cost(message.body.len()),
         idempotent: route.idempotent,
         timeout: resolved.service.timeout(),
+        objective: None,
         deadline: None,
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::SameTarget,
--- a/crates/borageshed/src/job_work/call.rs
+++ b/crates/borageshed/src/job_work/call.rs
@@ -41,6 +41,7 @@
         cost: item.tokens,
         idempotent: true,
         timeout,
+        objective: None,
         deadline: Some(cx.clock.now() + timeout),
         max_attempts: UNLIMITED_ATTEMPTS,
         resumption: Resumption::AnyTarget { after: None },
--- a/crates/borageshed/src/online/call.rs
+++ b/crates/borageshed/src/online/call.rs
@@ -40,6 +40,8 @@
     pub idempotent: bool,
     /// The longest time to the first byte of the answer.
     pub timeout: Duration,
+    /// The time to the first byte of the answer that callers expect; `None` if none is declared.
+    pub objective: Option<Duration>,
     /// When the whole answer must have arrived; `None` for no limit.
     pub deadline: Option<Timestamp>,
     /// The maximum number of targets that the request may run on.
@@ -88,6 +90,7 @@
 impl Call {
     /// Returns the request in the form that the dispatcher expects; its id is set on submission.
     pub fn dispatch_request(&self, now: Timestamp) -> dispatch::Request {
+        let deadline = self.deadline.unwrap_or(now + self.timeout);
         dispatch::Request {
             id: 0,
             account: self.account.clone(),
@@ -97,7 +100,9 @@
             class: self.class,
             cost: self.cost,
             bytes: self.message.body.len(),
-            deadline: self.deadline.unwrap_or(now + self.timeout),
+            deadline,
+            // The target takes the other half until its first byte.
+            due: self.objective.map_or(deadline, |it| now + it / 2),
             large_reserve_until: Timestamp::ZERO,
             idempotent: self.idempotent,
             resumable: matches!(self.resumption, Resumption::AnyTarget { .. }),
--- a/crates/policy/examples/dispatch-experiment/cost.rs
+++ b/crates/policy/examples/dispatch-experiment/cost.rs
@@ -117,6 +117,7 @@
         resumable: false,
         version: None,
         max_attempts: u32::MAX,
+        due: Timestamp::from_millis(3_600_000),
         large_reserve_until: Timestamp::ZERO,
         prefix: Some(id % 64),
         shared_parts: Vec::new(),
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -351,6 +351,7 @@
             resumable: false,
             version: None,
             max_attempts: u32::MAX,
+            due: Timestamp::from_millis(3_600_000),
             large_reserve_until: Timestamp::ZERO,
             prefix: None,
             shared_parts: Vec::new(),
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -389,7 +389,7 @@
 
     fn enqueue_new(&mut self, service: usize, request: Request) {
         let id = request.id;
-        let entry = Entry { id, cost: request.cost.max(1), bytes: request.bytes };
+        let entry = Entry { id, cost: request.cost.max(1), bytes: request.bytes, due: request.due };
         let queue = &mut self.services[service].class_state_mut(request.class).queue;
         queue.push_back(&request.account, request.weight, entry);
         self.requests.insert(id, HeldRequest::new(request, service));
--- a/crates/policy/src/dispatch/fair.rs
+++ b/crates/policy/src/dispatch/fair.rs
@@ -5,11 +5,15 @@
 //! to wait, its counter is raised to the virtual time less a bounded credit, if it is lower. Without the credit, an account
 //! that stays within its share would lose the service that it does not use from one moment to the next, and would wait
 //! behind accounts that always have requests waiting.
+//!
+//! Within an account, requests that can still meet their objective are served first. In the order of arrival, all requests of an
+//! overload would be served when it is too late for each of them.
 
 use std::collections::{BTreeSet, VecDeque};
 
 use fleet::QualifiedName;
 use indexmap::IndexMap;
+use stdx::Timestamp;
 
 /// A waiting request and what it counts towards the limits of the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +21,8 @@
     pub id: u64,
     pub cost: u64,
     pub bytes: usize,
+    /// The latest time at which a start still meets the objective.
+    pub due: Timestamp,
 }
 
 /// Requests by account, in weighted fair order.
@@ -39,6 +45,8 @@
     weight: u64,
     counter: u64,
     entries: VecDeque<Entry>,
+    /// The number of entries at the end that can no longer meet their objective.
+    overdue: usize,
     bytes: usize,
     cost: u64,
 }
@@ -65,6 +73,13 @@
     }
 }
 
+impl AccountQueue {
+    /// Returns the number of entries that can still meet their objective.
+    fn in_time(&self) -> usize {
+        self.entries.len() - self.overdue
+    }
+}
+
 impl FairQueue {
     pub fn len(&self) -> usize {
         self.len
@@ -110,12 +125,25 @@
 
     /// Appends a request.
     pub fn push_back(&mut self, account: &QualifiedName, weight: u32, entry: Entry) {
-        self.insert(account, weight, |entries| entries.push_back(entry), entry);
+        self.insert(account, weight, |queue| queue.entries.insert(queue.in_time(), entry), entry);
     }
 
     /// Puts back a request that was dequeued, ahead of the account's others.
     pub fn push_front(&mut self, account: &QualifiedName, weight: u32, entry: Entry) {
-        self.insert(account, weight, |entries| entries.push_front(entry), entry);
+        self.insert(account, weight, |queue| queue.entries.push_front(entry), entry);
+    }
+
+    /// Moves the requests that can no longer meet their objective behind the others of their account.
+    pub fn demote_overdue(&mut self, now: Timestamp) {
+        for queue in self.accounts.values_mut() {
+            for _ in 0..queue.in_time() {
+                let Some(entry) = queue.entries.pop_front() else { break };
+                let is_overdue = entry.due <= now;
+                let position = if is_overdue { queue.entries.len() } else { queue.in_time() };
+                queue.entries.insert(position, entry);
+                queue.overdue += usize::from(is_overdue);
+            }
+        }
     }
 
     /// Returns the accounts that wait, in the order in which they are served, each with its first request.
@@ -137,6 +165,7 @@
     pub fn remove(&mut self, account: &QualifiedName, id: u64) -> Option<Entry> {
         let queue = self.accounts.get_mut(account)?;
         let position = queue.entries.iter().position(|it| it.id == id)?;
+        queue.overdue -= usize::from(position >= queue.in_time());
         let entry = queue.entries.remove(position)?;
         queue.bytes -= entry.bytes;
         queue.cost -= entry.cost;
@@ -185,7 +214,7 @@
         &mut self,
         account: &QualifiedName,
         weight: u32,
-        put: impl FnOnce(&mut VecDeque<Entry>),
+        put: impl FnOnce(&mut AccountQueue),
         entry: Entry,
     ) {
         let weight = u64::from(weight.max(1));
@@ -199,7 +228,7 @@
             self.order.insert((queue.counter, account.clone()));
             self.active_weight += weight;
         }
-        put(&mut queue.entries);
+        put(queue);
         queue.bytes += entry.bytes;
         queue.cost += entry.cost;
         self.len += 1;
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -208,7 +208,7 @@
             return;
         }
         let request = &held.request;
-        let entry = Entry { id, cost: request.cost.max(1), bytes: request.bytes };
+        let entry = Entry { id, cost: request.cost.max(1), bytes: request.bytes, due: request.due };
         service.class_state_mut(request.class).queue.push_front(
             &request.account,
             request.weight,
--- a/crates/policy/src/dispatch/periodic.rs
+++ b/crates/policy/src/dispatch/periodic.rs
@@ -26,6 +26,7 @@
         self.perform_due_suspect_work(now);
         for service in 0..self.services.len() {
             self.refresh_targets(now, service);
+            self.services[service].online.queue.demote_overdue(now);
             self.refuse_late(now, service);
             self.schedule(now, service);
         }
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -42,6 +42,8 @@
         pub bytes: usize,
         /// The latest time at which the request may start.
         pub deadline: Timestamp,
+        /// The latest time at which a start still meets the objective. Later, requests that can still meet theirs go first.
+        pub due: Timestamp,
         /// Until this time, a batch request leaves [`Settings::large_batch_reserve`](super::Settings::large_batch_reserve)
         /// of a target's slots free.
         pub large_reserve_until: Timestamp,
--- a/crates/policy/tests/dispatch_queue.rs
+++ b/crates/policy/tests/dispatch_queue.rs
@@ -9,7 +9,7 @@
     stopped, target,
 };
 use policy::dispatch::{Action, Event, Execution, Reason, Request, Settings};
-use stdx::Name;
+use stdx::{Name, Timestamp};
 
 // Guards against an account that is served more because it sends more requests, and against weights without effect.
 #[test]
@@ -307,3 +307,33 @@
     bench.complete(2);
     assert!(bench.dispatcher.is_quiescent());
 }
+
+// Guards against an overload in which each request is served only once it is too late for it, though many could be served in time.
+#[test]
+fn in_an_overload_requests_that_can_meet_their_objective_go_first() {
+    const SLOT_TIME: Duration = Duration::from_millis(400);
+    const OBJECTIVE: Duration = Duration::from_millis(150);
+    let mut bench = Bench::new(&[target("t1", "z1", 4)]);
+    let (mut running, mut in_time, mut late) = (Vec::new(), 0, 0);
+    // 20 requests a second, of which the target can serve 10.
+    for id in 0..200 {
+        let due = bench.now + OBJECTIVE;
+        let deadline = bench.now + 5 * SECOND;
+        let mut actions = bench.submit(Request { due, deadline, ..online(id) });
+        actions.extend(bench.advance(Duration::from_millis(50)));
+        let ended: Vec<_> =
+            running.extract_if(.., |it: &mut (Timestamp, u64)| it.0 <= bench.now).collect();
+        for (_, ended) in ended {
+            actions.extend(bench.complete(ended));
+        }
+        for started in ids(&actions) {
+            let submitted = Timestamp::from_millis(1 + started * 50);
+            match bench.now.since(submitted) <= OBJECTIVE + Duration::from_millis(50) {
+                true => in_time += 1,
+                false => late += 1,
+            }
+            running.push((bench.now + SLOT_TIME, started));
+        }
+    }
+    assert!(in_time >= 80, "{in_time} in time, {late} late");
+}
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -50,6 +50,7 @@
         cost: 100,
         bytes: 100,
         deadline: Timestamp::from_millis(3_600_000),
+        due: Timestamp::from_millis(3_600_000),
         large_reserve_until: Timestamp::ZERO,
         idempotent: true,
         resumable: false,
