Take all slots of remote targets if targets at home are limited

Callers waited for tokens of the limited targets of their failure domain while a fifth of the slots of targets elsewhere was kept for the callers there. If a target at home names a limit, that reserve no longer applies to requests from there.

requests_take_all_slots_elsewhere_if_targets_at_home_are_limited fails without it (6 placed instead of 8).

--- a/crates/policy/src/dispatch/limits.rs
+++ b/crates/policy/src/dispatch/limits.rs
@@ -118,7 +118,11 @@
     pub(super) fn share_limits(&mut self, now: Timestamp, service: usize) {
         let targets = self.services[service].targets.values();
         let limited = targets.filter(|it| it.allowance.limit().is_some());
+        let is_home_limited = limited.clone().any(|it| it.local);
         let limited: Vec<Name> = limited.map(|it| it.info.name.clone()).collect();
+        for target in self.services[service].targets.values_mut() {
+            target.replaces_limited = is_home_limited && !target.local;
+        }
         for target in limited {
             let sharing = self.sharing(service, &target);
             self.services[service].targets[&target].allowance.set_sharing(now, sharing);
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -53,6 +53,8 @@
     /// The number of those peers.
     pub batch_contenders: u32,
     pub pace: Pace,
+    /// Whether requests that find no room at home may take all slots of this remote target, because targets at home are limited.
+    pub replaces_limited: bool,
     /// What the limit of the target lets this instance send.
     pub allowance: Allowance,
     /// The requests that peers sent in the counting window, if the target names a limit.
@@ -115,6 +117,7 @@
             batch_contending: 0,
             batch_contenders: 0,
             pace: Pace::default(),
+            replaces_limited: false,
             allowance: Allowance::default(),
             peer_starts: 0,
             report: None,
@@ -273,7 +276,7 @@
     }
 
     fn limit(&self, settings: &Settings) -> u32 {
-        if self.local {
+        if self.local || self.replaces_limited {
             return self.info.concurrency;
         }
         (f64::from(self.info.concurrency) * settings.spill_limit) as u32
--- a/crates/policy/tests/dispatch_limits.rs
+++ b/crates/policy/tests/dispatch_limits.rs
@@ -375,3 +375,22 @@
     let expected = (Some("d1".into()), Some(TargetLimit(2_500)), SECOND);
     assert_eq!(told.collect::<Vec<_>>(), [expected]);
 }
+
+// Guards against callers who wait for tokens at home while targets elsewhere have free slots.
+#[test]
+fn requests_take_all_slots_elsewhere_if_targets_at_home_are_limited() {
+    let remote = TargetInfo { failure_domain: "z2".into(), ..registered("t2") };
+    let placed = |limit: Option<u64>| {
+        let home = TargetInfo { concurrency: 1, ..registered("t1") };
+        let mut bench = Bench::new(&[home, remote.clone()]);
+        bench.submit(online(0));
+        bench.advance(SECOND);
+        bench.complete(0);
+        bench.event(answer_limit(limit, bench.now));
+        let submitted = (1..=20).map(|it| ids(&bench.submit(online(it))).len());
+        let first: usize = submitted.sum();
+        first + ids(&bench.advance(SECOND)).len()
+    };
+    assert_eq!(placed(None), 1 + 6, "a part of the slots elsewhere is left to its own callers");
+    assert_eq!(placed(Some(500)), 8);
+}
