Try condemned prompt parts again before their items count as abandoned

Cause, suspected from that record and reproduced: three crashes condemn a part of the prompt, also an innocent one, and items with it were refused for 20 to 60 s. If little else runs, no other request clears the part meanwhile.

The first verdict now lasts 8 to 16 s over all instances and still doubles with each crash; the test passes.

--- /dev/null
+++ b/crates/borageshed/tests/crashes.rs
@@ -0,0 +1,64 @@
+//! Runs daemons as separate processes against targets that crash one after the other while they run batch items.
+
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use operator_site::{KEY, Site, stream, wait_until};
+use serde_json::{Value, json};
+use test_support::{
+    http::Call,
+    operator::{self, JOBS},
+    target::{Behaviour, Target},
+    wait,
+};
+
+mod operator_site;
+
+/// An item that has not failed at a target for this long, and on which nothing works, counts as abandoned.
+const MAX_IDLE: Duration = Duration::from_secs(20);
+
+/// Returns the submission of a job whose items share the first part of their prompts.
+fn submission_with_parts(id: &str, items: usize) -> Call {
+    let mut body: Value = {
+        let ids: Vec<String> = (0..items).map(|it| format!("{id}-{it}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        serde_json::from_str(&operator::job_body(&ids)).expect("a JSON body")
+    };
+    for (n, item) in body["items"].as_array_mut().expect("items").iter_mut().enumerate() {
+        item["headers"] = json!({ "X-Prompt-Prefix": format!("aa01:100,{n:x}{n:x}:250") });
+    }
+    Call::post(JOBS, body.to_string()).key(KEY).header("x-request-id", id)
+}
+
+// Guards against items that wait longer than they may after targets have crashed under them through no fault of theirs.
+#[async_std::test]
+async fn an_item_whose_targets_crashed_runs_again_before_it_counts_as_abandoned() -> io::Result<()>
+{
+    let crashing = [
+        Target::start(Behaviour::Crash).await?,
+        Target::start(Behaviour::Crash).await?,
+        Target::start(Behaviour::Crash).await?,
+    ];
+    let site = Site::start(&[]).await?;
+    for (n, target) in crashing.iter().enumerate() {
+        operator::register(&site.platform, &format!("t-{n}"), target.address());
+        if n == 0 {
+            assert_eq!(site.send(submission_with_parts("job", 1)).await.status, 202);
+        }
+        wait_until("the target has crashed", async || !target.requests().is_empty()).await?;
+        operator::unregister(&site.platform, &format!("t-{n}"));
+    }
+    let healthy = Target::start(stream(3, 0)).await?;
+    operator::register(&site.platform, "t-healthy", healthy.address());
+    let started = Instant::now();
+    let is_done = async || {
+        let path = operator::results_path("job", 0);
+        site.send(Call::get(path).key(KEY)).await.json()["next"] == 1
+    };
+    wait::wait_until("the item is done", 4 * MAX_IDLE, Duration::from_millis(100), is_done).await?;
+    let idle = started.elapsed();
+    assert!(idle < MAX_IDLE, "{idle:?}");
+    Ok(())
+}
--- a/crates/policy/src/dispatch/prompt_parts.rs
+++ b/crates/policy/src/dispatch/prompt_parts.rs
@@ -25,14 +25,15 @@
 const CRASH_SEPARATION: Duration = Duration::from_millis(200);
 /// How long a crash counts.
 const CRASH_MEMORY: Duration = Duration::from_secs(60);
-/// The shortest lifetime of a verdict; doubled each time that the part crashes a target after the verdict has expired.
-const MIN_LIFETIME: Duration = Duration::from_secs(20);
+/// The shortest lifetime of a verdict; doubled each time that the part crashes a target after the verdict has expired. The part may be
+/// innocent, and an item that nobody tries for 20 s counts as abandoned, so the first verdict ends before that on all instances.
+const MIN_LIFETIME: Duration = Duration::from_secs(8);
 const MAX_LIFETIME: Duration = Duration::from_secs(600);
 /// The range of the random factor by which instances extend the lifetime. Of many instances, one thus tries the part first,
 /// and the others learn of the result before their verdicts expire.
 const LIFETIME_FACTOR: std::ops::Range<f64> = 1.0..MAX_LIFETIME_FACTOR;
 /// The factor of the lifetime of a verdict after which every instance lets a request try the part again.
-pub const MAX_LIFETIME_FACTOR: f64 = 3.0;
+pub const MAX_LIFETIME_FACTOR: f64 = 2.0;
 /// Crashes this soon after a verdict are those of requests that were in flight then, and do not renew it.
 const IN_FLIGHT_TIME: Duration = Duration::from_secs(5);
 /// How long a request may try a part before another one may, too; it may have to wait for a slot.
