Accept an answer to a resumption only if it goes on with the next event

A failure status in answer to a resumption was already kept back.

After a resumption or a take-up, the first event must have the next id, and each block must be an event or a comment; otherwise the attempt counts as failed and the stream goes on elsewhere or breaks off visibly. An answer from the start is passed on as before. A resumed answer without a length that ends early after a whole event still looks complete; nothing shows the difference.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -230,7 +230,7 @@
         ReadOutcome::Broken(e) => {
             let last_event = {
                 let mut output = output.lock();
-                match StreamError::is_in(&e) {
+                match StreamError::is_limit_in(&e) {
                     // A stream without an end is a fault of the target, so none of its output is kept.
                     true => *output = EventData::default(),
                     false => output.discard_partial(),
--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -43,6 +43,7 @@
 
     /// Records that a target of a version is about to send output, and returns the id of the last event, after which it goes on.
     pub fn begin_attempt(&mut self, version: &Name) -> Option<u64> {
+        self.splitter.begin_attempt();
         if self.event_count() == 0 {
             self.version = Some(version.clone());
         }
--- a/crates/borageshed/src/online/events.rs
+++ b/crates/borageshed/src/online/events.rs
@@ -14,6 +14,12 @@
     /// An event is too long.
     #[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
     EventTooLong,
+    /// A resumed stream does not go on where it broke: it starts over, leaves out an event or holds something else.
+    #[error("the resumed stream does not go on after event {last}")]
+    NotContinued {
+        /// The id of the last event before.
+        last: u64,
+    },
     /// The whole stream is too long.
     #[error("the stream holds more than {limit} bytes")]
     TooLong {
@@ -23,9 +29,10 @@
 }
 
 impl StreamError {
-    /// Returns whether an I/O error wraps a `StreamError`.
-    pub fn is_in(error: &io::Error) -> bool {
-        error.get_ref().is_some_and(|it| it.is::<Self>())
+    /// Returns whether an I/O error says that a stream exceeds a length limit.
+    pub fn is_limit_in(error: &io::Error) -> bool {
+        let stream_error = error.get_ref().and_then(|it| it.downcast_ref::<Self>());
+        matches!(stream_error, Some(Self::EventTooLong | Self::TooLong { .. }))
     }
 }
 
@@ -41,19 +48,54 @@
     partial: Vec<u8>,
     event_count: u64,
     last_id: Option<u64>,
+    /// What the answer must be, if a target was asked to go on after `last_id`.
+    resumed: Resumed,
+}
+
+/// What is known of an answer that continues a stream. An answer from the start is passed on as the target sends it; but what follows the
+/// events of another answer must be events.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Resumed {
+    /// The answer is the first one of its stream.
+    #[default]
+    No,
+    /// No whole event of the answer has arrived.
+    Awaited,
+    /// The answer has gone on where the stream broke.
+    Begun,
+}
+
+impl Resumed {
+    fn of(last_id: Option<u64>) -> Self {
+        match last_id {
+            Some(_) => Self::Awaited,
+            None => Self::No,
+        }
+    }
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream of which some events are known already.
     pub fn resume(event_count: u64, last_id: u64) -> Self {
-        Self { partial: Vec::new(), event_count, last_id: Some(last_id) }
+        Self { event_count, last_id: Some(last_id), ..Self::default() }
+    }
+
+    /// Creates a splitter for a stream that goes on after an event, if one is given.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self { last_id, resumed: Resumed::of(last_id), ..Self::default() }
+    }
+
+    /// Prepares for the answer of another target, which was asked to go on after the last whole event.
+    pub fn begin_attempt(&mut self) {
+        self.partial.clear();
+        self.resumed = Resumed::of(self.last_id);
     }
 
     /// Adds a piece of the stream and returns the events that it completes.
     ///
     /// # Errors
     ///
-    /// Fails if an event is too long.
+    /// Fails if an event is too long, or if a resumed stream does not go on after the last event.
     pub fn push(&mut self, piece: &[u8]) -> Result<Vec<u8>, StreamError> {
         // The two line feeds at the end of an event may arrive in different pieces.
         let search_start = self.partial.len().saturating_sub(1);
@@ -67,11 +109,25 @@
         };
         let rest = self.partial.split_off(end);
         let whole = std::mem::replace(&mut self.partial, rest);
+        self.check_resumed(&whole)?;
         self.event_count += count_events(&whole);
         self.last_id = last_id(&whole).or(self.last_id);
         Ok(whole)
     }
 
+    fn check_resumed(&mut self, whole: &[u8]) -> Result<(), StreamError> {
+        let Some(last) = self.last_id.filter(|_| self.resumed != Resumed::No) else {
+            return Ok(());
+        };
+        let goes_on =
+            self.resumed == Resumed::Begun || first_id(whole) == Some(last.wrapping_add(1));
+        if !goes_on || !blocks(whole).all(is_event) {
+            return Err(StreamError::NotContinued { last });
+        }
+        self.resumed = Resumed::Begun;
+        Ok(())
+    }
+
     /// Returns the number of whole events so far.
     pub fn event_count(&self) -> u64 {
         self.event_count
@@ -108,6 +164,28 @@
     bytes.windows(2).filter(|it| *it == b"\n\n").count() as u64
 }
 
+/// Returns the id of the first event, if it has one.
+fn first_id(events: &[u8]) -> Option<u64> {
+    last_id(blocks(events).next()?)
+}
+
+/// Returns the blocks that empty lines end.
+fn blocks(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = events;
+    std::iter::from_fn(move || {
+        let end = rest.windows(2).position(|it| it == b"\n\n")?;
+        let (block, after) = rest.split_at(end);
+        rest = &after[2..];
+        Some(block)
+    })
+}
+
+/// Returns whether a block has a field of an event or a comment.
+fn is_event(block: &[u8]) -> bool {
+    const FIELDS: [&[u8]; 5] = [b"id:", b"data:", b"event:", b"retry:", b":"];
+    block.split(|it| *it == b'\n').any(|line| FIELDS.iter().any(|it| line.starts_with(it)))
+}
+
 fn last_id(events: &[u8]) -> Option<u64> {
     let ids = events.split(|it| *it == b'\n').rev().filter_map(|it| it.strip_prefix(b"id:"));
     ids.filter_map(|it| std::str::from_utf8(it).ok()?.trim().parse().ok()).next()
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -123,7 +123,7 @@
     async fn forward_events(self, mut res: Response, tx: Sender) {
         let engine_request_id =
             res.header("x-engine-request-id").map(|it| it.last().as_str().to_owned());
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::after(self.call.last_event());
         let (mut meter, mut is_resumed) = (EventGapMeter::default(), false);
         let mut resumes = 0;
         // Events of the current attempt follow those of the attempts before it.
@@ -160,7 +160,10 @@
                     resumes += 1;
                     let resumed = match self.call.resumption {
                         Resumption::AnyTarget { after } => {
-                            self.resume_on_any_target(splitter.last_id().or(after), &e).await
+                            let resumed =
+                                self.resume_on_any_target(splitter.last_id().or(after), &e).await;
+                            splitter.begin_attempt();
+                            resumed
                         }
                         _ if resumes > MAX_RESUMES => ResumeOutcome::Failed,
                         Resumption::Never | Resumption::SameTarget => {
--- a/crates/borageshed/tests/crashes.rs
+++ b/crates/borageshed/tests/crashes.rs
@@ -6,7 +6,6 @@
 };
 
 use operator_site::{KEY, Site, stream, wait_until};
-use serde_json::{Value, json};
 use test_support::{
     http::Call,
     operator::{self, JOBS},
@@ -19,19 +18,6 @@
 /// An item that has not failed at a target for this long, and on which nothing works, counts as abandoned.
 const MAX_IDLE: Duration = Duration::from_secs(20);
 
-/// Returns the submission of a job whose items share the first part of their prompts.
-fn submission_with_parts(id: &str, items: usize) -> Call {
-    let mut body: Value = {
-        let ids: Vec<String> = (0..items).map(|it| format!("{id}-{it}")).collect();
-        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-        serde_json::from_str(&operator::job_body(&ids)).expect("a JSON body")
-    };
-    for (n, item) in body["items"].as_array_mut().expect("items").iter_mut().enumerate() {
-        item["headers"] = json!({ "X-Prompt-Prefix": format!("aa01:100,{n:x}{n:x}:250") });
-    }
-    Call::post(JOBS, body.to_string()).key(KEY).header("x-request-id", id)
-}
-
 // Guards against items that wait longer than they may after targets have crashed under them through no fault of theirs.
 #[async_std::test]
 async fn an_item_whose_targets_crashed_runs_again_before_it_counts_as_abandoned() -> io::Result<()>
@@ -45,7 +31,9 @@
     for (n, target) in crashing.iter().enumerate() {
         operator::register(&site.platform, &format!("t-{n}"), target.address());
         if n == 0 {
-            assert_eq!(site.send(submission_with_parts("job", 1)).await.status, 202);
+            let body = operator::job_body_with_shared_part(&["i-1"]);
+            let submission = Call::post(JOBS, body).key(KEY).header("x-request-id", "job");
+            assert_eq!(site.send(submission).await.status, 202);
         }
         wait_until("the target has crashed", async || !target.requests().is_empty()).await?;
         operator::unregister(&site.platform, &format!("t-{n}"));
