Check only once a second whether batch requests may fill a limit

Each tick of 20 ms listed the users of each limited target, which at 250 instances and 57 limited targets is 700,000 comparisons of names a second. The users are now listed only when the use of the limit is compared, once a second, and only by instances that send batch requests there. Waiting online requests still end the filling at once. dispatch_limits.rs passes as before.

--- a/crates/policy/src/dispatch/allowance.rs
+++ b/crates/policy/src/dispatch/allowance.rs
@@ -165,20 +165,37 @@
         it.set_batch_rate(now);
     }
 
-    /// Adds the tokens that have accrued. `idle_use` is the number of requests of the other instances within
-    /// [`COUNTING_WINDOW`] if batch requests may use what online requests leave; otherwise `None`.
-    pub fn refill(&mut self, now: Timestamp, idle_use: Option<u32>) {
+    /// Adds the tokens that have accrued.
+    pub fn refill(&mut self, now: Timestamp) {
         let Some(it) = &mut self.limited else { return };
         it.starts.retain(|at| now.since(*at) < COUNTING_WINDOW);
         it.online.refill(now);
         it.batch.refill(now);
-        if now >= it.next_fill_check || idle_use.is_none() {
-            it.next_fill_check = now + FILL_INTERVAL;
-            let part = BATCH_FILL * it.limit.per_s() * COUNTING_WINDOW.as_secs_f64();
-            let own = it.starts.len() as f64;
-            it.is_filling = idle_use.is_some_and(|others| f64::from(others) + own < part);
-            it.set_batch_rate(now);
-        }
+    }
+
+    /// Returns whether it is time to compare the use of the limit, so that batch requests may fill what is left.
+    pub fn is_fill_check_due(&self, now: Timestamp) -> bool {
+        let due = |it: &Limited| it.sharing.is_batch_user && now >= it.next_fill_check;
+        self.limited.as_ref().is_some_and(due)
+    }
+
+    /// Decides whether batch requests fill the limit, given the requests of the other instances within [`COUNTING_WINDOW`], if
+    /// they are known.
+    pub fn check_fill(&mut self, now: Timestamp, of_others: Option<u32>) {
+        let Some(it) = &mut self.limited else { return };
+        it.next_fill_check = now + FILL_INTERVAL;
+        let part = BATCH_FILL * it.limit.per_s() * COUNTING_WINDOW.as_secs_f64();
+        let own = it.starts.len() as f64;
+        it.is_filling = of_others.is_some_and(|others| f64::from(others) + own < part);
+        it.set_batch_rate(now);
+    }
+
+    /// Stops batch requests from filling the limit, because online requests wait.
+    pub fn stop_filling(&mut self, now: Timestamp) {
+        let Some(it) = self.limited.as_mut().filter(|it| it.is_filling) else { return };
+        it.is_filling = false;
+        it.next_fill_check = now + FILL_INTERVAL;
+        it.set_batch_rate(now);
     }
 
     /// Returns whether the limit lets this instance send a request now.
--- a/crates/policy/src/dispatch/periodic.rs
+++ b/crates/policy/src/dispatch/periodic.rs
@@ -63,19 +63,22 @@
         }
     }
 
-    /// Adds the tokens of limited targets that have accrued.
+    /// Adds the tokens of limited targets that have accrued, and decides whether batch requests use what online requests leave.
     fn refill_allowances(&mut self, now: Timestamp, service: usize) {
+        let has_waiting = self.services[service].has_waiting(Class::Online);
         for i in 0..self.services[service].targets.len() {
-            let target = &self.services[service].targets[i];
+            let target = &mut self.services[service].targets[i];
             if target.allowance.limit().is_none() {
                 continue;
             }
-            let is_contended =
-                target.contenders > 0 || self.services[service].has_waiting(Class::Online);
-            let hears_users = !is_contended && self.hears_online_users(&target.info.failure_domain);
-            let target = &mut self.services[service].targets[i];
-            let idle_use = hears_users.then_some(target.peer_starts);
-            target.allowance.refill(now, idle_use);
+            target.allowance.refill(now);
+            if has_waiting || target.contenders > 0 {
+                target.allowance.stop_filling(now);
+            } else if target.allowance.is_fill_check_due(now) {
+                let (domain, starts) = (target.info.failure_domain.clone(), target.peer_starts);
+                let of_others = self.hears_online_users(&domain).then_some(starts);
+                self.services[service].targets[i].allowance.check_fill(now, of_others);
+            }
         }
     }
 
