--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //! cancellations.
 //!
 //! - `configuration`: fetches the configuration from peers and serves it to them.
+//! - `dispatch`: what the dispatchers of the daemons tell each other about requests and targets.
 //! - `jobs`: questions about batch jobs to the daemons that run them, and the handover of accepted jobs.
 //! - `links`: decides which daemons this one is linked with and through which relays its messages pass.
 //! - `loads`: reports of requests in flight between daemons.
@@ -11,6 +12,7 @@
 //! - `store_calls`: calls to the key-value service for daemons that cannot reach it.
 
 mod configuration;
+mod dispatch;
 mod jobs;
 mod links;
 mod loads;
@@ -33,15 +35,10 @@
 use bytes::Bytes;
 use overlay::{Frame, LoadReports, Member, Report, Role, RoutingAction};
 use peer::{
-    ClearedParts, Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled, JobRequest,
-    Leaving, LinkRole, Loads, Message, OriginAnswer, OriginRequest, PartCrash, PartVerdict,
-    PeerEvent, PoisonVerdict, SendError, message,
-};
-use policy::{
-    dispatch::{Claim, Event, Fingerprint, LimitNews, PartId, Suspicion},
-    rate::RateMessage,
-    versions::StreamId,
+    Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled, JobRequest, Leaving,
+    LinkRole, Loads, Message, OriginAnswer, OriginRequest, PeerEvent, SendError, message,
 };
+use policy::{rate::RateMessage, versions::StreamId};
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
 
@@ -53,7 +50,7 @@
 };
 use crate::{
     config_sync::PeerRevision, control::ControlEvent, loans, metrics::PeerLabels, shared::Shared,
-    status::OverlayStatus, suspects, target_limits,
+    status::OverlayStatus,
 };
 
 /// How often the contents of the heartbeat are renewed.
@@ -218,45 +215,6 @@
         }
     }
 
-    /// Tells a peer, or every peer, that requests with a fingerprint crash targets.
-    pub fn send_verdict(&self, to: Option<&Name>, fingerprint: &Fingerprint) {
-        let verdict = PoisonVerdict { fingerprint: fingerprint.to_vec().into() };
-        self.send(to, &Message::PoisonVerdict(verdict));
-    }
-
-    /// Tells every peer that a target crashed while it ran a request.
-    pub fn broadcast_suspicion(&self, suspicion: &Suspicion) {
-        self.send(None, &suspects::suspicion_to_wire(suspicion));
-    }
-
-    /// Tells every peer that a target crashed on which a request with these prompt parts was in flight without any output.
-    pub fn broadcast_part_crash(&self, target: &Name, parts: &[PartId]) {
-        let parts = parts.iter().map(|it| it.0).collect();
-        self.send(None, &Message::PartCrash(PartCrash { target: target.to_string(), parts }));
-    }
-
-    /// Tells every peer that requests with a prompt part must not run.
-    pub fn broadcast_part_verdict(&self, part: PartId, lifetime: Duration) {
-        let lifetime_ms = u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX);
-        self.send(None, &Message::PartVerdict(PartVerdict { part: part.0, lifetime_ms }));
-    }
-
-    /// Tells every peer that targets answer on prompt parts that were suspects or condemned.
-    pub fn broadcast_cleared_parts(&self, parts: &[PartId]) {
-        let parts = parts.iter().map(|it| it.0).collect();
-        self.send(None, &Message::ClearedParts(ClearedParts { parts }));
-    }
-
-    /// Tells a peer, or every peer, on which target a suspect request will run, runs or has ended.
-    pub fn send_claim(&self, to: Option<&Name>, claim: &Claim) {
-        self.send(to, &suspects::claim_to_wire(claim));
-    }
-
-    /// Tells a peer, or every peer, what is known about the limit of a target.
-    pub fn send_limit(&self, to: Option<&Name>, news: &LimitNews) {
-        self.send(to, &target_limits::to_wire(news));
-    }
-
     /// Sends a message to one daemon or to all, over as many links as needed, and returns whether it was sent over any. It
     /// may still be lost on the way, so senders repeat messages that matter.
     fn send(&self, to: Option<&Name>, message: &Message) -> bool {
@@ -389,46 +347,21 @@
     }
 }
 
-fn part_ids(parts: Vec<u64>) -> Vec<PartId> {
-    parts.into_iter().map(PartId).collect()
-}
-
 fn handle(cx: &Shared, peers: &Peers, from: Name, message: Message) {
     match message {
         Message::Heartbeat(heartbeat) => on_heartbeat(cx, peers, &from, &heartbeat),
         Message::ConfigFetch(fetch) => peers.send_configuration(cx, &from, &fetch),
         Message::ConfigChunk(chunk) => peers.on_part(from, chunk),
-        Message::PoisonVerdict(verdict) => {
-            let Ok(fingerprint) = Fingerprint::try_from(verdict.fingerprint.as_ref()) else {
-                return;
-            };
-            cx.control.send(ControlEvent::Dispatch(Event::PoisonVerdict { fingerprint }));
-        }
-        Message::PoisonSuspicion(suspicion) => {
-            if let Some(suspicion) = suspects::suspicion_from_wire(&suspicion) {
-                cx.control.send(ControlEvent::Dispatch(Event::PoisonSuspicion(suspicion)));
-            }
-        }
-        Message::PartCrash(PartCrash { target, parts }) => {
-            let (target, parts) = (Name::from(target), part_ids(parts));
-            cx.control.send(ControlEvent::Dispatch(Event::PartCrash { target, parts }));
-        }
-        Message::PartVerdict(PartVerdict { part, lifetime_ms }) => {
-            let (part, lifetime) = (PartId(part), Duration::from_millis(lifetime_ms.into()));
-            cx.control.send(ControlEvent::Dispatch(Event::PartVerdict { part, lifetime }));
-        }
-        Message::ClearedParts(ClearedParts { parts }) => {
-            cx.control.send(ControlEvent::Dispatch(Event::ClearedParts(part_ids(parts))));
-        }
-        Message::SuspectClaim(claim) => {
-            if let Some(claim) = suspects::claim_from_wire(&claim) {
-                cx.control.send(ControlEvent::Dispatch(Event::SuspectClaim { peer: from, claim }));
-            }
-        }
-        Message::TargetLimit(limit) => {
-            let news = target_limits::from_wire(&limit);
-            cx.control.send(ControlEvent::Dispatch(Event::LimitNews(news)));
-        }
+        Message::PoisonVerdict(_)
+        | Message::PoisonSuspicion(_)
+        | Message::SuspectClaim(_)
+        | Message::PartCrash(_)
+        | Message::PartVerdict(_)
+        | Message::ClearedParts(_)
+        | Message::TargetLimit(_) => match dispatch::event(from.clone(), message) {
+            Some(event) => cx.control.send(ControlEvent::Dispatch(event)),
+            None => debug!(cx.log, "message about requests cannot be decoded"; "from" => %from),
+        },
         Message::JobCancelled(cancelled) => {
             let _ = peers.inner.cancellations.0.try_send(cancelled);
         }
