Name a check by what it asks

reaches_online_users says what hears_online_users meant: whether the users of a limited target can be reached, so that their load reports count. Found while reading the change.

--- a/crates/policy/src/dispatch/limits.rs
+++ b/crates/policy/src/dispatch/limits.rs
@@ -131,7 +131,7 @@
 
     /// Returns whether all instances that send online requests to a target can be reached, so that their load reports show how
     /// far its limit is used.
-    pub(super) fn hears_online_users(&self, failure_domain: &Name) -> bool {
+    pub(super) fn reaches_online_users(&self, failure_domain: &Name) -> bool {
         self.online_users(failure_domain)
             .iter()
             .all(|it| *it == &self.settings.instance || self.linked_peers.contains(*it))
--- a/crates/policy/src/dispatch/periodic.rs
+++ b/crates/policy/src/dispatch/periodic.rs
@@ -76,7 +76,7 @@
                 target.allowance.stop_filling(now);
             } else if target.allowance.is_fill_check_due(now) {
                 let (domain, starts) = (target.info.failure_domain.clone(), target.peer_starts);
-                let of_others = self.hears_online_users(&domain).then_some(starts);
+                let of_others = self.reaches_online_users(&domain).then_some(starts);
                 self.services[service].targets[i].allowance.check_fill(now, of_others);
             }
         }
