Ask the holders of a stream before the only known version is taken, and read the stored history only if needed

An instance that hears of a new version later than another one could take a stream of the new version up at the old one: it trusted its own list. Found by a test whose entry daemon did not know the new target yet; the daemons that keep the origin are now asked first.

It is read now for the first take-up soon after a start, and the daemon that stores it learns what is stored from its first write.

an_attempt_that_nobody_knows_is_not_taken_up_while_two_versions_serve waited a fixed time and passed although the entry daemon did not know the second version; it now waits until that daemon uses the new target. versions.rs and operator.rs pass.

--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -13,7 +13,7 @@
 
 use async_std::task;
 use fleet::QualifiedName;
-use kv_store::{Outcome, Revision};
+use kv_store::{Entry, Outcome, Revision};
 use peer::StreamOrigin;
 use policy::versions::{
     MIXED_WINDOW, StoredHistory, StreamId, StreamOrigins, VersionHistory, holders,
@@ -45,6 +45,8 @@
     origins: StreamOrigins,
     /// Whether targets have been listed.
     has_targets: bool,
+    /// Whether the stored history has been read, or is being read.
+    is_loaded: bool,
 }
 
 impl Streams {
@@ -104,15 +106,21 @@
             if let Some(version) = stream.and_then(|it| self.known_version(it)) {
                 return Some(version);
             }
+            // An instance that runs for longer has seen what has left, and has its links.
+            let is_new = started.since(Timestamp::ZERO) < MIXED_WINDOW;
+            if is_new && self.begin_loading() {
+                load(cx).await;
+            }
+            // Others may know of a version that this instance has not heard of yet, so they are asked first.
+            if let Some(stream) = stream
+                && let Some(version) = ask_holders(cx, stream).await
+            {
+                return Some(version);
+            }
             let now = cx.clock.now();
             if let Some(only) = self.only_version(service, now, timeout + AGE_SLACK) {
                 return Some(only);
             }
-            if let Some(version) = ask_holders(cx, stream?).await {
-                return Some(version);
-            }
-            // An instance that runs for longer has its links.
-            let is_new = started.since(Timestamp::ZERO) < MIXED_WINDOW;
             if !is_new || cx.clock.now().since(started) >= MAX_SEARCH {
                 return None;
             }
@@ -120,6 +128,12 @@
         }
     }
 
+    /// Returns whether the caller is to read the stored history; nobody else does so at the same time.
+    fn begin_loading(&self) -> bool {
+        let mut state = self.lock();
+        state.has_targets && !std::mem::replace(&mut state.is_loaded, true)
+    }
+
     fn only_version(
         &self,
         service: &QualifiedName,
@@ -134,44 +148,39 @@
     }
 }
 
-/// Reads the stored history and keeps it up to date until the daemon stops.
+/// Keeps the stored history up to date until the daemon stops, if this daemon is the one that stores it.
 pub async fn run(cx: Arc<Shared>) {
-    let mut stored: Option<(Revision, StoredHistory)> = None;
+    let mut stored = (Revision(0), StoredHistory::default());
     loop {
-        task::sleep(STORE_INTERVAL / 10).await;
-        if !cx.streams.lock().has_targets {
-            continue;
-        }
-        match &mut stored {
-            None => stored = load(&cx).await,
-            Some(stored) => {
-                if is_writer(&cx) {
-                    store_changes(&cx, stored).await;
-                }
-            }
-        }
         task::sleep(STORE_INTERVAL).await;
+        if is_writer(&cx) && cx.streams.lock().has_targets {
+            store_changes(&cx, &mut stored).await;
+        }
     }
 }
 
-async fn load(cx: &Shared) -> Option<(Revision, StoredHistory)> {
-    let entry = match cx.store.get(HISTORY_KEY).await {
-        Ok(entry) => entry,
+/// Reads the stored history. Only an instance that is asked to take up a stream soon after its start needs it.
+async fn load(cx: &Shared) {
+    match cx.store.get(HISTORY_KEY).await {
+        Ok(entry) => drop(entry.and_then(|it| merge(cx, &it))),
         Err(e) => {
             debug!(cx.log, "history of versions not read"; "error" => %e);
-            return None;
+            cx.streams.lock().is_loaded = false;
         }
-    };
-    let mut state = cx.streams.lock();
-    let Some(entry) = entry else { return Some((Revision(0), StoredHistory::default())) };
+    }
+}
+
+/// Adds a stored history to what this instance has seen.
+fn merge(cx: &Shared, entry: &Entry) -> Option<StoredHistory> {
     match serde_json::from_slice::<StoredHistory>(&entry.value) {
-        Ok(history) => {
-            state.history.merge(cx.clock.now(), clock::unix_millis(), &history);
-            Some((entry.mod_revision, history))
+        Ok(stored) => {
+            let now = cx.clock.now();
+            cx.streams.lock().history.merge(now, clock::unix_millis(), &stored);
+            Some(stored)
         }
         Err(e) => {
             warn!(cx.log, "stored history of versions cannot be decoded"; "error" => %e);
-            Some((entry.mod_revision, StoredHistory::default()))
+            None
         }
     }
 }
@@ -191,8 +200,11 @@
             info!(cx.log, "history of versions stored"; "services" => history.services.len());
             (*revision, *stored) = (written, history);
         }
-        // Another daemon wrote, or may have; the next round writes over the newer record.
-        Ok(Outcome::Lost(entry)) => *revision = entry.map_or(Revision(0), |it| it.mod_revision),
+        // An earlier process or another daemon has stored a history; the next round compares with it.
+        Ok(Outcome::Lost(entry)) => {
+            *revision = entry.as_ref().map_or(Revision(0), |it| it.mod_revision);
+            *stored = entry.and_then(|it| merge(cx, &it)).unwrap_or_default();
+        }
         Ok(Outcome::Unknown) => warn!(cx.log, "unknown whether the history of versions was stored"),
         Err(e) => debug!(cx.log, "history of versions not stored"; "error" => %e),
     }
--- a/crates/borageshed/tests/versions.rs
+++ b/crates/borageshed/tests/versions.rs
@@ -6,7 +6,7 @@
 use operator_site::{KEY, Site, call, stream, submission, wait_until};
 use test_support::{
     http::{Call, Reply},
-    operator::{self, HOST, STREAMS},
+    operator::{self, DRAFTS, HOST, STREAMS},
     target::{Behaviour, Target},
 };
 
@@ -39,10 +39,21 @@
     };
     wait_until("a stream has begun", begun).await?;
     operator::register_version(&site.platform, "t-2", new.address(), "v2");
-    task::sleep(Duration::from_millis(500)).await;
+    wait_until_used(site.callers(), new).await?;
     Ok(site)
 }
 
+/// Waits until an entry daemon knows a target, which it shows by sending it a request that nobody resumes.
+async fn wait_until_used(entry: std::net::SocketAddr, target: &Target) -> io::Result<()> {
+    let is_used = async || {
+        let request = call(DRAFTS, "known").header("host", HOST);
+        // The answer may break off.
+        let _ = request.send(entry).await;
+        !target.requests().is_empty()
+    };
+    wait_until("the entry daemon knows the target", is_used).await
+}
+
 // Guards against an answer that a daemon joins from the output of two versions.
 #[async_std::test]
 async fn a_broken_stream_does_not_go_on_at_another_version() -> io::Result<()> {
