Read results of items through the daemon before their text is compared

The test waited until the store held the result and then read it once. The daemon that runs the job lists a result when the store has answered its transaction, which is later; until then nothing has been read, so an empty answer is allowed. Trace: with answers of writes held back for 150 ms in the stand-in (not committed), an_item_continues_after_an_unframed_stream_that_ends_inside_an_event fails with the same answer.

Both tests now wait until the result can be read, check that the store holds it, and compare it as before. They pass with and without the delay.

--- a/crates/borageshed/tests/operator.rs
+++ b/crates/borageshed/tests/operator.rs
@@ -284,7 +284,8 @@
     wait_until("the item ran twice", async || target.requests().len() >= 2).await?;
     assert_eq!(site.stored_results("job-1"), 0, "no attempt counts");
     target.set_behaviour(stream(5, 5));
-    wait_until("the item has a result", async || site.stored_results("job-1") == 1).await?;
+    site.wait_for_results("job-1", 1).await?;
+    assert_eq!(site.stored_results("job-1"), 1);
     let path = operator::results_path("job-1", 0);
     let read = site.send(Call::get(path).key(KEY)).await.json();
     assert_eq!(read["results"][0]["state"], "completed", "{read}");
@@ -297,7 +298,8 @@
     let target = Target::start(Behaviour::BreakUnframedAfter(3)).await?;
     let site = Site::start(&[("t-1", &target)]).await?;
     assert_eq!(site.send(submission("job-1", &["i-1"])).await.status, 202);
-    wait_until("the item has a result", async || site.stored_results("job-1") == 1).await?;
+    site.wait_for_results("job-1", 1).await?;
+    assert_eq!(site.stored_results("job-1"), 1);
     let path = operator::results_path("job-1", 0);
     let read = site.send(Call::get(path).key(KEY)).await.json();
     let whole: Vec<String> = (1..=6).map(|n| format!("part {n}")).collect();
