Save up tokens of limited targets for peaks of callers

Instances now save up together what accrues in a second and three requests more. Over time no more is sent than the limit; four seconds hold at most five times the limit, three requests and what items used before, where the platform accepts six times and five.

tokens_that_are_not_used_in_a_trough_serve_the_next_peak fails without it (3 requests a second and target where 6 are expected). only_an_answer_to_a_request_sent_after_the_limit_was_named_ends_it counted on a single saved token; it now uses up four of them and checks the same: the next request waits until a later answer lifts the limit.

--- a/crates/policy/src/dispatch/allowance.rs
+++ b/crates/policy/src/dispatch/allowance.rs
@@ -20,8 +20,12 @@
 const BATCH_FILL: f64 = 0.7;
 /// How often that use is compared; load reports of all instances arrive within this time.
 const FILL_INTERVAL: Duration = Duration::from_secs(1);
-/// The time in which an idle instance saves up tokens beyond the first.
-const BURST: Duration = Duration::from_millis(250);
+/// The tokens that the instances together save up for bursts of online requests: what accrues in this time, and
+/// [`MIN_ONLINE_BURST`] more. Callers come in peaks that are much shorter than the troughs between them.
+const ONLINE_BURST: Duration = Duration::from_secs(1);
+const MIN_ONLINE_BURST: f64 = 3.0;
+/// The time in which an instance saves up tokens for batch requests beyond the first.
+const BATCH_BURST: Duration = Duration::from_millis(250);
 /// A target with a lower limit gets this many requests a second all the same. Without any answer, nobody would learn that the
 /// limit has ended.
 const MIN_PER_S: f64 = 0.25;
@@ -75,6 +79,8 @@
 #[derive(Debug)]
 struct Bucket {
     per_s: f64,
+    /// The maximum of `tokens`.
+    burst: f64,
     tokens: f64,
     refilled_at: Timestamp,
 }
@@ -112,6 +118,12 @@
         }
     }
 
+    /// Returns the tokens that this instance saves up for online requests.
+    fn online_burst(self, limit: TargetLimit) -> f64 {
+        let of_all = limit.per_s() * ONLINE_BURST.as_secs_f64() + MIN_ONLINE_BURST;
+        of_all / self.online_users.max(1) as f64
+    }
+
     fn batch_share(self) -> f64 {
         match (self.online_users, self.batch_users) {
             (_, 0) => 0.0,
@@ -161,7 +173,7 @@
     pub fn set_sharing(&mut self, now: Timestamp, sharing: Sharing) {
         let Some(it) = &mut self.limited else { return };
         it.sharing = sharing;
-        it.online.set_rate(now, sharing.online_per_s(it.limit));
+        it.online.set_rate(now, sharing.online_per_s(it.limit), sharing.online_burst(it.limit));
         it.set_batch_rate(now);
     }
 
@@ -247,7 +259,7 @@
 impl Limited {
     /// Starts without tokens: the requests before the limit was known count against it, too.
     fn new(now: Timestamp, limit: TargetLimit) -> Self {
-        let bucket = || Bucket { per_s: 0.0, tokens: 0.0, refilled_at: now };
+        let bucket = || Bucket { per_s: 0.0, burst: 0.0, tokens: 0.0, refilled_at: now };
         Self {
             limit,
             sharing: Sharing::default(),
@@ -261,7 +273,8 @@
 
     fn set_batch_rate(&mut self, now: Timestamp) {
         let fill = if self.is_filling { BATCH_FILL } else { 0.0 };
-        self.batch.set_rate(now, self.sharing.batch_per_s(self.limit, fill));
+        let per_s = self.sharing.batch_per_s(self.limit, fill);
+        self.batch.set_rate(now, per_s, per_s * BATCH_BURST.as_secs_f64());
     }
 
     fn bucket(&self, class: Class) -> &Bucket {
@@ -280,9 +293,11 @@
 }
 
 impl Bucket {
-    fn set_rate(&mut self, now: Timestamp, per_s: f64) {
+    /// Sets the rate and how many tokens are saved up; one token always is.
+    fn set_rate(&mut self, now: Timestamp, per_s: f64, burst: f64) {
         self.refill(now);
         self.per_s = per_s;
+        self.burst = burst.max(1.0);
         if per_s == 0.0 {
             self.tokens = self.tokens.min(0.0);
         }
@@ -290,10 +305,9 @@
 
     fn refill(&mut self, now: Timestamp) {
         let accrued = self.per_s * now.since(self.refilled_at).as_secs_f64();
-        let cap = (self.per_s * BURST.as_secs_f64()).max(1.0);
         self.refilled_at = now;
-        if self.tokens < cap {
-            self.tokens = (self.tokens + accrued).min(cap);
+        if self.tokens < self.burst {
+            self.tokens = (self.tokens + accrued).min(self.burst);
         }
     }
 
