Let answers that have begun end although one of their prompt parts is condemned

The cancellation took requests by their prompt alone; it now looks at the held request and leaves out those with output. If such an answer breaks off later, the request is refused like a new one instead of being sent again.

answers_that_have_begun_end_although_a_part_is_condemned_and_do_not_start_again fails without it: both requests are refused at the verdict.

--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -239,7 +239,8 @@
             }
             Event::KeyWithdrawn { account, key } => {
                 self.refuse_matching(now, Reason::KeyWithdrawn, MIN_RETRY_AFTER, |it| {
-                    it.account == account && it.key.is_some() && (key.is_none() || it.key == key)
+                    let req = &it.request;
+                    req.account == account && req.key.is_some() && (key.is_none() || req.key == key)
                 });
             }
         }
@@ -356,7 +357,9 @@
     /// Refuses the waiting requests with the fingerprint and cancels those in flight.
     pub(super) fn refuse_fingerprint(&mut self, now: Timestamp, fingerprint: &Fingerprint) {
         let expiry = self.settings.verdict_expiry;
-        self.refuse_matching(now, Reason::Poison, expiry, |it| it.fingerprint == *fingerprint);
+        self.refuse_matching(now, Reason::Poison, expiry, |it| {
+            it.request.fingerprint == *fingerprint
+        });
     }
 
     /// Refuses all requests that match, and cancels those of them that are in flight.
@@ -365,9 +368,9 @@
         now: Timestamp,
         reason: Reason,
         retry_after: Duration,
-        matches: impl Fn(&Request) -> bool,
+        matches: impl Fn(&HeldRequest) -> bool,
     ) {
-        let ids = self.requests.iter().filter(|(_, it)| matches(&it.request));
+        let ids = self.requests.iter().filter(|(_, it)| matches(it));
         let mut services = Vec::new();
         for id in ids.map(|(id, _)| *id).collect::<Vec<_>>() {
             services.push(self.requests[&id].service);
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -238,6 +238,12 @@
             return;
         }
         let held = self.requests.get_mut(&id).expect("a released request is held");
+        if let Some(retry_after) = self.parts.admit(now, id, &held.request.shared_parts) {
+            // The part was condemned while the answer was on its way.
+            self.refuse_waiting(id, Reason::PoisonPart, retry_after);
+            self.schedule(now, released.service);
+            return;
+        }
         if (held.sent && !held.request.idempotent)
             || (held.answered && !held.request.resumable)
             || held.attempt >= held.request.max_attempts
--- a/crates/policy/src/dispatch/part_evidence.rs
+++ b/crates/policy/src/dispatch/part_evidence.rs
@@ -74,9 +74,10 @@
         condemned
     }
 
+    /// Refuses the requests with a condemned part, but for those whose targets have survived the beginning of the answer.
     fn refuse_part(&mut self, now: Timestamp, part: PartId, lifetime: Duration) {
         self.refuse_matching(now, Reason::PoisonPart, lifetime, |it| {
-            it.shared_parts.contains(&part)
+            !it.has_output && it.request.shared_parts.contains(&part)
         });
     }
 }
--- a/crates/policy/tests/dispatch_parts.rs
+++ b/crates/policy/tests/dispatch_parts.rs
@@ -98,6 +98,31 @@
     assert_eq!(refusals(&answer(&mut bench, with_parts(50, &[DEADLY]))), []);
 }
 
+/// Guards against callers who lose answers on their way because a part of their prompts is condemned meanwhile.
+#[test]
+fn answers_that_have_begun_end_although_a_part_is_condemned_and_do_not_start_again() {
+    let mut bench = bench(40);
+    let broken = Request { max_attempts: 3, resumable: true, ..with_parts(1_001, &[DEADLY]) };
+    let answering = [with_parts(1_000, &[DEADLY]), broken];
+    for request in answering {
+        let id = request.id;
+        bench.submit(request);
+        for event in [Event::Started { id }, Event::FirstByte { id }, Event::OutputBegun { id }] {
+            bench.event(event);
+        }
+    }
+    for target in names(40).into_iter().rev().take(ACCEPTED_CRASHES) {
+        let actions = bench.event(Event::PartCrash { target, parts: vec![DEADLY] });
+        assert_eq!(refusals(&actions), []);
+        bench.advance(SECOND);
+    }
+    let refused = bench.submit(with_parts(1, &[DEADLY]));
+    assert_eq!(refusals(&refused), [(1, Reason::PoisonPart)]);
+    let broken = Event::FailedAfterSend { id: 1_001, cause: FailureCause::ConnectionLost };
+    assert_eq!(refusals(&bench.event(broken)), [(1_001, Reason::PoisonPart)]);
+    assert_eq!(refusals(&bench.complete(1_000)), []);
+}
+
 /// Guards against a part that is refused for ever, and against many requests that try it again at once.
 #[test]
 fn a_refused_part_is_tried_by_one_request_later_and_comes_back_when_targets_answer() {
