End the faults of the soak in turns, so that it does not wait for a daemon that it has paused

At the end of a run the soak ended the faults one after the other and waited for a daemon that was told to stop before it resumed the same daemon: "a daemon did not stop" (seeds 3020 and 4039). It now goes through all faults again until each has ended, within the same time as before.

--- a/crates/borageshed/tests/soak/faults.rs
+++ b/crates/borageshed/tests/soak/faults.rs
@@ -83,16 +83,31 @@
             }
             task::sleep(STEP_INTERVAL).await;
         }
+        self.end_all(fixture, recoveries.into_values().collect()).await?;
+        Ok(unexpected_exits)
+    }
+
+    /// Ends the faults in turns, because a daemon that was told to stop and then paused exits only after it is resumed.
+    async fn end_all(
+        &self,
+        fixture: &mut Fixture,
+        mut recoveries: Vec<Recovery>,
+    ) -> io::Result<()> {
         let start = Instant::now();
-        for recovery in recoveries.into_values() {
-            while !self.end_fault(fixture, recovery)? {
-                if start.elapsed() > STOP_TIMEOUT {
-                    return Err(io::Error::other(format!("a daemon did not stop: {recovery:?}")));
+        while !recoveries.is_empty() {
+            let mut unended = Vec::new();
+            for recovery in recoveries {
+                if !self.end_fault(fixture, recovery)? {
+                    unended.push(recovery);
                 }
-                task::sleep(STEP_INTERVAL).await;
             }
+            if !unended.is_empty() && start.elapsed() > STOP_TIMEOUT {
+                return Err(io::Error::other(format!("a daemon did not stop: {unended:?}")));
+            }
+            recoveries = unended;
+            task::sleep(STEP_INTERVAL).await;
         }
-        Ok(unexpected_exits)
+        Ok(())
     }
 
     /// Starts a fault; returns the action that ends it, or `None` if nothing has to be undone.
--- a/crates/borageshed/tests/soak/main.rs
+++ b/crates/borageshed/tests/soak/main.rs
@@ -16,9 +16,9 @@
 use fixture::{Fixture, POLL_INTERVAL};
 use test_support::{http::Call, wait::wait_until};
 
-/// Seeds that failed once through a fault in this test: a daemon stayed paused until another daemon had stopped, and the
-/// calls that the paused daemon held were reported as too slow.
-const REGRESSION_SEEDS: &[u64] = &[108, 148];
+/// Seeds that failed once through a fault in this test: a daemon stayed paused until another daemon (108, 148), or it itself
+/// (3020, 4039), had stopped.
+const REGRESSION_SEEDS: &[u64] = &[108, 148, 3020, 4039];
 /// The seeds of a run without settings in the environment.
 const SHORT_SEEDS: [u64; 2] = [1, 2];
 const SHORT_SECONDS: u64 = 6;
