Send a request that tries a condemned prompt part again if its connection breaks

Since the check of condemned parts before a retry, a request that tries a part whose verdict has expired was refused after a broken connection: its own trial counted as that of another request. It no longer does; a crash renews the verdict, which still refuses it.

a_request_that_tries_a_refused_part_is_sent_again_after_its_connection_broke fails without it (no second dispatch).

--- a/crates/policy/src/dispatch/prompt_parts.rs
+++ b/crates/policy/src/dispatch/prompt_parts.rs
@@ -78,12 +78,12 @@
 }
 
 impl PartTable {
-    /// Returns when to retry if a request with the parts must not run; otherwise, the request tries the parts whose verdicts have
-    /// expired.
+    /// Returns when to retry if a request with the parts must not be sent, for the first time or again; otherwise, the request
+    /// tries the parts whose verdicts have expired.
     pub fn admit(&mut self, now: Timestamp, id: u64, parts: &[PartId]) -> Option<Duration> {
         let verdicts = parts.iter().filter_map(|it| self.verdicts.get(it));
         let delays = verdicts.filter_map(|it| match it.trial {
-            Some((_, at)) if now.since(at) < TRIAL_TIMEOUT => Some(TRIAL_RETRY_DELAY),
+            Some((by, at)) if by != id && now.since(at) < TRIAL_TIMEOUT => Some(TRIAL_RETRY_DELAY),
             _ => (now < it.expires).then(|| it.expires.since(now)),
         });
         if let Some(delay) = delays.max() {
--- a/crates/policy/tests/dispatch_parts.rs
+++ b/crates/policy/tests/dispatch_parts.rs
@@ -143,6 +143,21 @@
     assert_eq!(refusals(&answer(&mut bench, with_parts(24, &[DEADLY]))), []);
 }
 
+/// Guards against a part that stays refused because the request that tries it broke off for another reason and was not sent again.
+#[test]
+fn a_request_that_tries_a_refused_part_is_sent_again_after_its_connection_broke() {
+    let mut bench = bench(40);
+    for id in 0..10 {
+        crash(&mut bench, with_parts(id, &[DEADLY]));
+    }
+    bench.advance(60 * SECOND);
+    let trial = Request { max_attempts: 3, ..with_parts(20, &[DEADLY]) };
+    assert_eq!(dispatches(&bench.submit(trial)).len(), 1);
+    bench.event(Event::Started { id: 20 });
+    let broken = Event::FailedAfterSend { id: 20, cause: FailureCause::ConnectionLost };
+    assert_eq!(dispatches(&bench.event(broken)).len(), 1);
+}
+
 /// Guards against instances that each need crashes of their own, and against a restarted one that has forgotten the verdict.
 #[test]
 fn crashes_and_verdicts_of_peers_count() {
