--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -194,7 +194,13 @@
     if current(&history) == current(stored) {
         return;
     }
-    let Ok(value) = serde_json::to_vec(&history) else { return };
+    let value = match serde_json::to_vec(&history) {
+        Ok(value) => value,
+        Err(e) => {
+            warn!(cx.log, "history of versions cannot be encoded"; "error" => %e);
+            return;
+        }
+    };
     match cx.store.compare_and_swap(HISTORY_KEY, *revision, &value).await {
         Ok(Outcome::Won(written)) => {
             info!(cx.log, "history of versions stored"; "services" => history.services.len());
