Drop saved tokens when a target lowers its limit

A change of the rate now cuts the tokens to what may be saved under it.

saved_tokens_are_dropped_when_a_target_lowers_its_limit fails without it (8 requests are sent, as many as the target has slots, where 4 are allowed).

--- a/crates/policy/src/dispatch/allowance.rs
+++ b/crates/policy/src/dispatch/allowance.rs
@@ -293,14 +293,12 @@
 }
 
 impl Bucket {
-    /// Sets the rate and how many tokens are saved up; one token always is.
+    /// Sets the rate and how many tokens are saved up: at least one, unless none accrue.
     fn set_rate(&mut self, now: Timestamp, per_s: f64, burst: f64) {
         self.refill(now);
         self.per_s = per_s;
-        self.burst = burst.max(1.0);
-        if per_s == 0.0 {
-            self.tokens = self.tokens.min(0.0);
-        }
+        self.burst = if per_s == 0.0 { 0.0 } else { burst.max(1.0) };
+        self.tokens = self.tokens.min(self.burst);
     }
 
     fn refill(&mut self, now: Timestamp) {
--- a/crates/policy/tests/dispatch_limits.rs
+++ b/crates/policy/tests/dispatch_limits.rs
@@ -276,6 +276,21 @@
     assert!(most <= allowed(2_500), "{most} of {}", allowed(2_500));
 }
 
+// Guards against tokens that were saved under a high limit and are spent under a low one.
+#[test]
+fn saved_tokens_are_dropped_when_a_target_lowers_its_limit() {
+    let mut bench = Bench::new(&[registered("t1")]);
+    bench.event(Event::Instances(Instances {
+        admitting: [("d0".into(), "z1".into())].into(),
+        ..Instances::default()
+    }));
+    bench.event(answer_limit(Some(10_000), bench.now));
+    bench.advance(3 * SECOND);
+    bench.event(answer_limit(Some(1_000), bench.now));
+    let sent: usize = (1..=8).map(|it| ids(&bench.submit(online(it))).len()).sum();
+    assert_eq!(sent, 4, "the instance saves up one second and three more");
+}
+
 // Guards against a limit that lies idle while batch items wait.
 #[test]
 fn batch_requests_fill_a_limit_that_online_requests_leave_unused() {
