--- a/crates/policy/src/dispatch/allowance.rs
+++ b/crates/policy/src/dispatch/allowance.rs
@@ -20,10 +20,11 @@
 const BATCH_FILL: f64 = 0.7;
 /// How often that use is compared; load reports of all instances arrive within this time.
 const FILL_INTERVAL: Duration = Duration::from_secs(1);
-/// The tokens that the instances together save up for bursts of online requests: what accrues in this time, and
-/// [`MIN_ONLINE_BURST`] more. Callers come in peaks that are much shorter than the troughs between them.
+/// All instances together save up the tokens for online requests that accrue in this time, since callers come in peaks that are much
+/// shorter than the troughs between them.
 const ONLINE_BURST: Duration = Duration::from_secs(1);
-const MIN_ONLINE_BURST: f64 = 3.0;
+/// The number of tokens that all instances together save up beyond that, so that several of them can send at once under a low limit.
+const EXTRA_ONLINE_BURST: f64 = 3.0;
 /// The time in which an instance saves up tokens for batch requests beyond the first.
 const BATCH_BURST: Duration = Duration::from_millis(250);
 /// A target with a lower limit gets this many requests a second all the same. Without any answer, nobody would learn that the
@@ -120,7 +121,7 @@
 
     /// Returns the tokens that this instance saves up for online requests.
     fn online_burst(self, limit: TargetLimit) -> f64 {
-        let of_all = limit.per_s() * ONLINE_BURST.as_secs_f64() + MIN_ONLINE_BURST;
+        let of_all = limit.per_s() * ONLINE_BURST.as_secs_f64() + EXTRA_ONLINE_BURST;
         of_all / self.online_users.max(1) as f64
     }
 
