Take no id or account name that a header cannot carry

Cause: the entry servers/i-fünf lacks version, cold_left_ms and seq, and its id is not ASCII. The registry took it for a target. Writing its id into a request's header panics, which ends the task of the request or the item.

Hypotheses before the change: (1) the entry ends the daemon or its reader of the list: no, the log shows both running and other targets in use; (2) the address without a listener takes all attempts: no, a sound id with such an address is retried elsewhere; (3) the id panics in insert_metadata: the daemons' output has one panic for each lost item and request.

Why it works: ids of targets and names in request metadata have the type HeaderText, which holds printable ASCII only and is built where the entry is decoded. An account whose name no header can carry is left out of the configuration and reported, instead of ending each of its requests.

--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -9,13 +9,14 @@
 use http_types::{Request, Response};
 use platform::egress::{self, AnswerMetadata, NamedLimit, NotRun, RequestMetadata};
 use policy::dispatch::{Event, NotRunCause, TargetLimit};
-use slog::warn;
-use stdx::{Name, Timestamp};
+use slog::{error, warn};
+use stdx::{HeaderText, Name, Timestamp};
 
 use super::{Call, event_gap::EventGapMeter};
 use crate::{control::ControlEvent, settings::FleetSource, shared::Shared};
 
-/// Builds the request for one attempt; `None` if the address does not form a valid URL.
+/// Builds the request for one attempt; `None` if the address does not form a valid URL, or if the account or the target has a
+/// name that no header can carry.
 ///
 /// `last_event` is the id of the last event that arrived, if a stream is to be continued.
 pub fn request(
@@ -28,19 +29,33 @@
     let mut req = call.message.request(address)?;
     match cx.settings.source {
         FleetSource::Document => {}
-        FleetSource::Operator => egress::insert_metadata(
-            &mut req,
-            &RequestMetadata {
-                time_left: call.time_left(cx.clock.now()),
-                target,
-                account: call.account_id.map(|_| &call.account.name),
-                last_event,
-            },
-        ),
+        FleetSource::Operator => {
+            let account = call.account_id.map(|_| header_text(cx, call, &call.account.name));
+            let account = match account {
+                Some(account) => Some(account?),
+                None => None,
+            };
+            egress::insert_metadata(
+                &mut req,
+                &RequestMetadata {
+                    time_left: call.time_left(cx.clock.now()),
+                    target: &header_text(cx, call, target)?,
+                    account: account.as_ref(),
+                    last_event,
+                },
+            );
+        }
     }
     Some(req)
 }
 
+/// Converts a name to the value of a header; `None`, with a log line, if no header can carry it.
+fn header_text(cx: &Shared, call: &Call, name: &Name) -> Option<HeaderText> {
+    HeaderText::try_from(name.clone())
+        .inspect_err(|e| error!(cx.log, "request cannot be built"; "request" => &call.request_id, "error" => %e))
+        .ok()
+}
+
 /// Returns why a target did not run a request; `None` if it may have run it.
 ///
 /// Also reports to the control thread the load, the limit and the shutdown of the target that the answer states. The request was
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -80,7 +80,13 @@
 }
 
 fn apply_configuration(cx: &Arc<Shared>, configuration: Configuration) {
-    let Configuration { version, document, limits } = configuration;
+    let Configuration { version, document, limits, unusable_accounts } = configuration;
+    for account in &unusable_accounts {
+        error!(
+            cx.log, "account left out: no header can carry its name, so its keys are refused";
+            "version" => version, "account" => ?account
+        );
+    }
     let routes = document.host_routes.len();
     let accounts = document.accounts.len();
     let next = InForce::from_document(version, document);
@@ -134,8 +140,10 @@
 }
 
 fn publish_targets(cx: &Shared, targets: Vec<RegisteredTarget>) {
-    let name =
-        |it: &RegisteredTarget| TargetName { service: it.service.clone(), target: it.id.clone() };
+    let name = |it: &RegisteredTarget| TargetName {
+        service: it.service.clone(),
+        target: it.id.name().clone(),
+    };
     cx.directory.set(TargetTable::new(targets.iter().map(|it| (name(it), it.address))));
     let mut versions: BTreeMap<QualifiedName, BTreeSet<Name>> = BTreeMap::new();
     for target in &targets {
@@ -145,7 +153,7 @@
     let mut services: BTreeMap<QualifiedName, Vec<TargetInfo>> = BTreeMap::new();
     for target in targets {
         let info = TargetInfo {
-            name: target.id,
+            name: target.id.name().clone(),
             failure_domain: target.failure_domain,
             concurrency: target.concurrency,
             leaving: target.leaving,
