Tell the owner of a task when it panics

Cause: tasks were spawned without an owner that learns of their end. The notice that an item has been placed was sent on drop, the notice of its end was not; claims and transactions of jobs, the tasks that forward answers and every long loop (membership, configuration, targets, streams, links, the control thread) had no notice at all. A forwarding task that ended so even closed its queue, which reads as the end of a complete answer.

Change: EndNotice sends an item's, claim's or transaction's end when it is dropped. contain catches the panic of a request or an item, logs it with the request's id, and the caller gets an error answer, or a body that breaks off. A loop without which the daemon cannot work runs as essential: its panic is logged, and the daemon drains and exits with a failure, so that the platform starts it again.

--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -15,11 +15,13 @@
 use twox_hash::XxHash64;
 
 use super::{
-    Request, Result, caller, identity, identity::Identity, into_answer, jobs, plain, read_body,
+    Request, Result, caller, identity, identity::Identity, into_answer, jobs, panic_problem, plain,
+    read_body,
 };
 use crate::{
     online::{self, Call, Message, Resumption},
     shared::Shared,
+    tasks::contain,
 };
 
 /// The number of prompt tokens that take as much time as one output token.
@@ -40,7 +42,8 @@
     let cx = Arc::clone(req.state());
     let hints = ingress::hints(req.as_ref());
     let request_id = hints.request_id.clone();
-    let res = match run(req, hints).await {
+    let res = contain(&cx.log, &request_id, run(req, hints)).await;
+    let res = match res.unwrap_or_else(|| Err(panic_problem())) {
         Ok(res) => res,
         Err(problem) => {
             info!(
--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -35,6 +35,7 @@
     control::Directive,
     online::{Ended, refusal},
     shared::Shared,
+    tasks::contain,
 };
 
 use identity::Identity;
@@ -180,6 +181,13 @@
     F: Fn(Request) -> Fut,
     Fut: Future<Output = Result<Response>>,
 {
-    let res = handler(req).await.unwrap_or_else(Problem::into_response);
-    Ok(res.into())
+    let log = req.state().log.clone();
+    let res = contain(&log, "", handler(req)).await.unwrap_or_else(|| Err(panic_problem()));
+    Ok(res.unwrap_or_else(Problem::into_response).into())
+}
+
+/// Returns the answer to a request whose task panicked.
+fn panic_problem() -> Problem {
+    let detail = "the daemon failed while it handled the request";
+    Problem::new(ProblemKind::Internal, Execution::Unknown, detail)
 }
--- a/crates/borageshed/src/batch_work/driver.rs
+++ b/crates/borageshed/src/batch_work/driver.rs
@@ -22,7 +22,12 @@
     prepare,
     queue_limits::QueueLimits,
 };
-use crate::{in_force::InForce, peers::Peers, shared::Shared};
+use crate::{
+    in_force::InForce,
+    peers::Peers,
+    shared::Shared,
+    tasks::{contain, spawn_essential},
+};
 
 /// The longest wait for an event, after which timeouts and delays are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -129,7 +134,7 @@
         into: impl Fn(T) -> Event + Send + 'static,
     ) {
         let tx = self.tx.clone();
-        task::spawn(async move {
+        spawn_essential("events of segments", async move {
             while let Ok(it) = from.recv().await {
                 if tx.send(into(it)).await.is_err() {
                     return;
@@ -251,7 +256,7 @@
         for (id, segment) in &mut self.segments {
             if let Some(action) = segment.runner.poll(now) {
                 let (cx, tx, segment) = (Arc::clone(&self.cx), self.tx.clone(), *id);
-                task::spawn(async move {
+                spawn_essential("action of a segment", async move {
                     let outcome = executor::perform(&cx, action).await;
                     let _ = tx.send(Event::Runner { segment, outcome }).await;
                 });
@@ -262,7 +267,7 @@
         let max_claims = if is_draining || in_force.is_none() { 0 } else { self.max_claims(now) };
         if let Some(action) = self.planner.as_mut().and_then(|it| it.poll(now, max_claims)) {
             let (cx, tx, incarnation) = (Arc::clone(&self.cx), self.tx.clone(), self.incarnation);
-            task::spawn(async move {
+            spawn_essential("action of the planner", async move {
                 let outcome = executor::perform(&cx, action).await;
                 let _ = tx.send(Event::Planner { incarnation, outcome }).await;
             });
@@ -324,7 +329,10 @@
         let waiting = self.queue_limits.enter(&call.service);
         let (cx, tx, run_id) = (Arc::clone(&self.cx), self.tx.clone(), run.id);
         let (item, handle) = abortable(async move {
-            let outcome = item::run(&cx, &call, waiting).await;
+            let outcome = contain(&cx.log, &call.request_id, item::run(&cx, &call, waiting)).await;
+            // The item may have run before the panic.
+            let outcome = outcome
+                .unwrap_or_else(|| ItemOutcome::Lost { reason: Name::new("the daemon failed") });
             debug!(cx.log, "item ended"; "request" => &call.request_id, "outcome" => outcome_name(&outcome));
             let _ = tx.send(Event::Item { segment: id, id: run_id, outcome }).await;
         });
--- a/crates/borageshed/src/batch_work/mod.rs
+++ b/crates/borageshed/src/batch_work/mod.rs
@@ -21,12 +21,11 @@
     atomic::{AtomicUsize, Ordering},
 };
 
-use async_std::task;
 use batch::JobId;
 use http_edge::signal::Signal;
 use stdx::Name;
 
-use crate::{peers::Peers, shared::Shared};
+use crate::{peers::Peers, shared::Shared, tasks::spawn_essential};
 
 /// A notification from the HTTP API to the driver.
 #[derive(Debug)]
@@ -87,6 +86,7 @@
 pub fn start(cx: &Arc<Shared>, peers: Peers) {
     let (lease_tx, lease_rx) = async_channel::unbounded();
     let (restart_tx, restart_rx) = async_channel::unbounded();
-    task::spawn(lease::run(Arc::clone(cx), lease_tx, restart_rx));
-    task::spawn(driver::Driver::new(Arc::clone(cx), peers, restart_tx).run(lease_rx));
+    spawn_essential("lease of segments", lease::run(Arc::clone(cx), lease_tx, restart_rx));
+    let driver = driver::Driver::new(Arc::clone(cx), peers, restart_tx);
+    spawn_essential("segments", driver.run(lease_rx));
 }
--- a/crates/borageshed/src/control/thread.rs
+++ b/crates/borageshed/src/control/thread.rs
@@ -8,7 +8,7 @@
 };
 
 use slog::Logger;
-use stdx::Name;
+use stdx::{Name, panics};
 
 use super::{ControlEvent, ControlHandle, Effect, state::State};
 use crate::clock::Clock;
@@ -54,8 +54,8 @@
     let (tx, rx) = channel();
     let handle = ControlHandle::new(tx, cfg.max_requests);
     let state = State::new(cfg, log, effects);
-    let thread =
-        thread::Builder::new().name("control".to_owned()).spawn(move || run(state, clock, &rx))?;
+    let run = move || panics::essential_thread("control", || run(state, clock, &rx));
+    let thread = thread::Builder::new().name("control".to_owned()).spawn(run)?;
     Ok((handle, thread))
 }
 
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -10,7 +10,7 @@
 };
 
 use anyhow::{Context, Result};
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_std::task;
 use http_edge::{
     client::{Client, ClientSettings, RequestIdCheck},
@@ -23,7 +23,8 @@
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
-use slog::{Logger, info, o, warn};
+use slog::{Logger, error, info, o, warn};
+use stdx::panics;
 
 use crate::{
     api, batch_work,
@@ -35,7 +36,9 @@
     retirement,
     settings::{FleetSource, Settings},
     shared::{Parts, Shared},
-    silence, streams, summary, verdicts,
+    silence, streams, summary,
+    tasks::spawn_essential,
+    verdicts,
 };
 
 /// How long a drain waits for the release of the rate slots. Slots that are not released lapse on their own.
@@ -46,6 +49,15 @@
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(6);
 const SLOT_RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Why a daemon stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StopReason {
+    /// SIGTERM or SIGINT arrived.
+    Signal,
+    /// A task panicked without which the daemon cannot work.
+    TaskPanicked,
+}
+
 /// Runs a daemon until it is told to stop by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -73,8 +85,10 @@
     let control_log = log.new(o!("thread" => "control"));
     let (control, thread) = control::start(control_config, clock, control_log, effects_tx)
         .context("cannot start the control thread")?;
-    let stop = stop_signals(log.clone(), settings.clone(), file)
+    let (stop_tx, stop) = async_channel::bounded(1);
+    stop_signals(log.clone(), settings.clone(), file, stop_tx.clone())
         .context("cannot install the signal handler")?;
+    stop_on_panic(log.clone(), stop_tx);
     let (silence_reporter, silence_reports) = silence::channel();
     let parts = Parts {
         client: target_client(&settings, silence_reporter),
@@ -87,22 +101,25 @@
         control: control.clone(),
     };
     let cx = Arc::new(Shared::new(parts));
-    task::spawn(silence::run(Arc::clone(&cx), silence_reports));
-    task::block_on(serve(cx, effects_rx, stop))?;
+    spawn_essential("silent connections", silence::run(Arc::clone(&cx), silence_reports));
+    let reason = task::block_on(serve(cx, effects_rx, stop))?;
     control.send(ControlEvent::Stop);
     if thread.join().is_err() {
         warn!(log, "control thread panicked");
         return Ok(ExitCode::FAILURE);
     }
-    info!(log, "daemon stopped");
-    Ok(ExitCode::SUCCESS)
+    info!(log, "daemon stopped"; "reason" => ?reason);
+    Ok(match reason {
+        StopReason::Signal => ExitCode::SUCCESS,
+        StopReason::TaskPanicked => ExitCode::FAILURE,
+    })
 }
 
 async fn serve(
     cx: Arc<Shared>,
     effects: async_channel::Receiver<control::Effect>,
-    stop: async_channel::Receiver<()>,
-) -> Result<()> {
+    stop: Receiver<StopReason>,
+) -> Result<StopReason> {
     let admin =
         Server::bind(cx.settings.admin_listen, admin_limits(), api::admin::app(Arc::clone(&cx)))
             .await
@@ -115,22 +132,28 @@
         .with_context(|| format!("cannot listen on peer_listen {}", cx.settings.peer_listen))?;
     // Nothing else sets the cell, so this cannot fail.
     let _ = cx.peers.set(peers.clone());
-    task::spawn(peers::run(Arc::clone(&cx), peers.clone()));
-    task::spawn(effects::run(Arc::clone(&cx), peers.clone(), effects));
-    task::spawn(verdicts::load_verdicts(Arc::clone(&cx)));
-    task::spawn(summary::run(Arc::clone(&cx)));
-    task::spawn(membership::register(Arc::clone(&cx)));
-    task::spawn(membership::follow(Arc::clone(&cx), peers.clone()));
+    spawn_essential("peers", peers::run(Arc::clone(&cx), peers.clone()));
+    spawn_essential("effects", effects::run(Arc::clone(&cx), peers.clone(), effects));
+    spawn_essential("verdicts", verdicts::load_verdicts(Arc::clone(&cx)));
+    spawn_essential("summary", summary::run(Arc::clone(&cx)));
+    spawn_essential("registration", membership::register(Arc::clone(&cx)));
+    spawn_essential("membership", membership::follow(Arc::clone(&cx), peers.clone()));
     match cx.settings.source {
         FleetSource::Document => {
-            task::spawn(load_reports::run(Arc::clone(&cx)));
-            task::spawn(config_sync::run(Arc::clone(&cx), peers.clone(), peer_revisions_rx));
+            spawn_essential("load reports", load_reports::run(Arc::clone(&cx)));
+            spawn_essential(
+                "configuration",
+                config_sync::run(Arc::clone(&cx), peers.clone(), peer_revisions_rx),
+            );
         }
         FleetSource::Operator => {
-            task::spawn(operator::follow_configuration(Arc::clone(&cx)));
-            task::spawn(operator::catch_up_with_peers(Arc::clone(&cx), peer_revisions_rx));
-            task::spawn(operator::follow_targets(Arc::clone(&cx)));
-            task::spawn(streams::run(Arc::clone(&cx)));
+            spawn_essential("configuration", operator::follow_configuration(Arc::clone(&cx)));
+            spawn_essential(
+                "peers' configuration",
+                operator::catch_up_with_peers(Arc::clone(&cx), peer_revisions_rx),
+            );
+            spawn_essential("targets", operator::follow_targets(Arc::clone(&cx)));
+            spawn_essential("streams", streams::run(Arc::clone(&cx)));
         }
     }
     match cx.settings.source {
@@ -138,7 +161,7 @@
         FleetSource::Document => batch_work::start(&cx, peers.clone()),
         FleetSource::Operator => {
             job_work::start(&cx, peers.clone());
-            task::spawn(retirement::run(Arc::clone(&cx)));
+            spawn_essential("retirement", retirement::run(Arc::clone(&cx)));
         }
     }
     let callers = match cx.settings.listen {
@@ -146,11 +169,11 @@
         None => None,
     };
     info!(cx.log, "daemon serving"; "listen" => ?cx.settings.listen, "admin" => %cx.settings.admin_listen);
-    // The signal thread owns the sender. If that thread has ended, no signal can arrive, so the daemon stops too.
-    let _ = stop.recv().await;
+    // If no sender is left, no signal can arrive, so the daemon stops too.
+    let reason = stop.recv().await.unwrap_or(StopReason::TaskPanicked);
     drain(&cx, callers.as_ref(), &peers).await;
     admin.drain(Duration::from_secs(1)).await;
-    Ok(())
+    Ok(reason)
 }
 
 async fn listen_for_callers(cx: &Arc<Shared>, listen: SocketAddr) -> Result<Server<Arc<Shared>>> {
@@ -191,10 +214,22 @@
     }
 }
 
-/// Returns a channel that receives a message when SIGTERM or SIGINT arrives. On SIGHUP, the settings are read again and
-/// compared.
-fn stop_signals(log: Logger, settings: Settings, file: PathBuf) -> Result<Receiver<()>> {
-    let (tx, rx) = async_channel::bounded(1);
+/// Drains and stops the daemon when a task panics without which it cannot work; the platform then starts it again.
+fn stop_on_panic(log: Logger, tx: Sender<StopReason>) {
+    panics::on_essential_panic(move |task, panic| {
+        error!(log, "task ended, so the daemon stops"; "task" => task, "error" => %panic);
+        // One message is enough, so a full channel is no error.
+        let _ = tx.try_send(StopReason::TaskPanicked);
+    });
+}
+
+/// Sends a message when SIGTERM or SIGINT arrives. On SIGHUP, the settings are read again and compared.
+fn stop_signals(
+    log: Logger,
+    settings: Settings,
+    file: PathBuf,
+    tx: Sender<StopReason>,
+) -> Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
         for signal in signals.forever() {
@@ -202,11 +237,11 @@
                 log_settings_changes(&log, &settings, &file);
             } else {
                 // One message is enough, so a full channel is no error.
-                let _ = tx.try_send(());
+                let _ = tx.try_send(StopReason::Signal);
             }
         }
     })?;
-    Ok(rx)
+    Ok(())
 }
 
 /// Logs whether the settings file has changed. Changes take effect at the next start; a rolling restart applies them
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -82,6 +82,18 @@
     pub retry_delay: Duration,
 }
 
+impl RunResult {
+    /// Returns the end of a run whose task panicked. Its output may be incomplete, so the next run starts anew.
+    pub fn panicked() -> Self {
+        Self {
+            end: ItemEnd::Interrupted,
+            output: EventData::default(),
+            ran_for: Duration::ZERO,
+            retry_delay: MAX_RETRY_DELAY,
+        }
+    }
+}
+
 /// Properties of an item that the dispatcher needs besides the call.
 #[derive(Debug, Clone, Copy)]
 pub struct DispatchTerms {
--- a/crates/borageshed/src/job_work/mod.rs
+++ b/crates/borageshed/src/job_work/mod.rs
@@ -22,13 +22,11 @@
 
 use std::sync::Arc;
 
-use async_std::task;
-
-use crate::{peers::Peers, shared::Shared};
+use crate::{peers::Peers, shared::Shared, tasks::spawn_essential};
 
 /// Starts the tasks that keep the lease and run jobs.
 pub fn start(cx: &Arc<Shared>, peers: Peers) {
     let (lease_tx, lease_rx) = async_channel::unbounded();
-    task::spawn(lease::run(Arc::clone(cx), lease_tx));
-    task::spawn(worker::run(Arc::clone(cx), peers, lease_rx));
+    spawn_essential("lease of jobs", lease::run(Arc::clone(cx), lease_tx));
+    spawn_essential("jobs", worker::run(Arc::clone(cx), peers, lease_rx));
 }
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -19,7 +19,11 @@
     own_job::{InterruptedItem, OwnJob, RunningItem},
     readers::{ClaimProspect, LocalJobState, Question, Readers},
 };
-use crate::{peers::Peers, shared::Shared};
+use crate::{
+    peers::Peers,
+    shared::Shared,
+    tasks::{EndNotice, contain, spawn_essential},
+};
 
 /// How often due claims, uncommitted results and late items are checked if no event occurs.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -70,23 +74,23 @@
     let tx = events.clone();
     // Sending fails once the worker has ended.
     let on_change = move |change| tx.try_send(Event::Index(change)).is_ok();
-    task::spawn(index::follow(Arc::clone(&cx), on_change));
+    spawn_essential("index of jobs", index::follow(Arc::clone(&cx), on_change));
     let tx = events.clone();
-    task::spawn(async move {
+    spawn_essential("lease events of jobs", async move {
         while let Ok(event) = leases.recv().await {
             // The worker may have ended.
             let _ = tx.try_send(Event::Lease(event));
         }
     });
     let (tx, questions) = (events.clone(), peers.job_questions());
-    task::spawn(async move {
+    spawn_essential("questions about jobs", async move {
         while let Ok(question) = questions.recv().await {
             // The worker may have ended.
             let _ = tx.try_send(Event::Question(question));
         }
     });
     let (log, tx, jobs) = (cx.log.clone(), events.clone(), peers.accepted_jobs());
-    task::spawn(async move {
+    spawn_essential("jobs handed over", async move {
         while let Ok(job) = jobs.recv().await {
             match HandedOverJob::decode(&job) {
                 // The worker may have ended.
@@ -223,23 +227,26 @@
     fn claim_due_jobs(&mut self, now: Timestamp) {
         let Some(lease) = self.lease else { return };
         for DueClaim { id, route, handed_over, discovery } in self.plan.take_due(now) {
-            let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
+            let cx = Arc::clone(&self.cx);
+            let end = EndNotice::new(self.events.clone(), Event::NotClaimed { id: id.clone() });
             task::spawn(async move {
-                let claimed = match handed_over {
-                    Some(handed_over) => {
-                        claiming::claim_handed_over(&cx, lease, handed_over, discovery).await
+                let claim = async {
+                    match handed_over {
+                        Some(handed_over) => {
+                            claiming::claim_handed_over(&cx, lease, handed_over, discovery).await
+                        }
+                        None => claiming::claim(&cx, &id, lease, route, discovery).await,
                     }
-                    None => claiming::claim(&cx, &id, lease, route, discovery).await,
                 };
-                let event = match claimed {
-                    Ok(claimed) => Event::Claimed { id, lease, claimed: claimed.map(Box::new) },
+                let Some(claimed) = contain(&cx.log, id.as_str(), claim).await else { return };
+                match claimed {
+                    Ok(claimed) => {
+                        end.send(Event::Claimed { id, lease, claimed: claimed.map(Box::new) });
+                    }
                     Err(e) => {
                         debug!(cx.log, "job not claimed"; "job" => id.as_str(), "error" => %e);
-                        Event::NotClaimed { id }
                     }
-                };
-                // The worker may have ended.
-                let _ = events.try_send(event);
+                }
             });
         }
     }
@@ -348,14 +355,18 @@
             large_reserve_time: if self.has_slack { LARGE_RESERVE_TIME } else { Duration::ZERO },
         };
         let placement_tx = events.clone();
+        let ended = Box::new(item::RunResult::panicked());
+        let end = EndNotice::new(events, Event::ItemEnded { id: id.clone(), claim, index, ended });
         // Created outside the task, so that the notice is also sent if the task is aborted before its first poll.
         let mut placement = PlacementNotice { events: placement_tx, is_sent: false };
         let item_output = output.clone();
         let (run, handle) = abortable(async move {
-            let ended = item::run(&cx, &call, terms, item_output, || placement.send()).await;
+            let run = item::run(&cx, &call, terms, item_output, || placement.send());
+            let ended = contain(&cx.log, &call.request_id, run).await;
             drop(placement);
-            // The worker may have ended.
-            let _ = events.try_send(Event::ItemEnded { id, claim, index, ended: Box::new(ended) });
+            if let Some(ended) = ended {
+                end.send(Event::ItemEnded { id, claim, index, ended: Box::new(ended) });
+            }
         });
         job.items.insert(index, RunningItem { handle, output });
         self.waiting_items += 1;
@@ -366,10 +377,15 @@
         for job in self.own_jobs.values_mut() {
             let Some(transaction) = job.next_transaction(now) else { continue };
             let (id, claim) = (job.run.id().clone(), job.claim);
-            let (cx, events) = (Arc::clone(&self.cx), self.events.clone());
+            let cx = Arc::clone(&self.cx);
+            let unknown =
+                Event::Committed { id: id.clone(), claim, outcome: Ok(CommitOutcome::Unknown) };
+            let end = EndNotice::new(self.events.clone(), unknown);
             task::spawn(async move {
-                let outcome = cx.store.commit(&transaction).await;
-                let _ = events.try_send(Event::Committed { id, claim, outcome });
+                let commit = cx.store.commit(&transaction);
+                if let Some(outcome) = contain(&cx.log, id.as_str(), commit).await {
+                    end.send(Event::Committed { id, claim, outcome });
+                }
             });
         }
     }
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`streams`]: which software version began a caller's stream.
 //! - [`target_limits`]: messages about targets that limit the requests of all instances together.
 //! - [`silence`]: resets silent connections to targets.
+//! - [`tasks`]: runs tasks whose panics must not pass unnoticed.
 //! - [`verdicts`]: stores verdicts on requests and prompt parts that crash targets.
 //! - [`burn`]: counts good and bad requests against the objective.
 //! - [`answer`]: helpers for answers to callers.
@@ -58,4 +59,5 @@
 pub mod summary;
 pub mod suspects;
 pub mod target_limits;
+pub mod tasks;
 pub mod verdicts;
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -25,6 +25,7 @@
     control::{Admission, Directive},
     settings::FleetSource,
     shared::Shared,
+    tasks::contain,
 };
 
 /// The maximum number of pieces that wait for the caller. Beyond it, reading from the target stops, so that a slow caller
@@ -96,11 +97,20 @@
         let mut answer = answer_head(&self.call, &res);
         let (tx, rx) = async_channel::bounded(MAX_QUEUED_PIECES);
         set_body(&mut answer, Body::from_reader(Box::pin(rx).into_async_read(), None));
-        if is_event_stream(&res) {
-            task::spawn(self.forward_events(res, tx));
-        } else {
-            task::spawn(self.forward_bytes(res, first, tx));
-        }
+        let (log, request_id) = (self.cx.log.clone(), self.call.request_id.clone());
+        let end_tx = tx.clone();
+        let forward = async move {
+            match is_event_stream(&res) {
+                true => self.forward_events(res, tx).await,
+                false => self.forward_bytes(res, first, tx).await,
+            }
+        };
+        task::spawn(async move {
+            if contain(&log, &request_id, forward).await.is_none() {
+                // Without an error, a closed queue is the end of a complete answer. The caller may have gone.
+                let _ = end_tx.send(Err(io::Error::other("the answer was not forwarded"))).await;
+            }
+        });
         answer
     }
 
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -50,7 +50,7 @@
 };
 use crate::{
     config_sync::PeerRevision, control::ControlEvent, loans, metrics::PeerLabels, shared::Shared,
-    status::OverlayStatus,
+    status::OverlayStatus, tasks::spawn_essential,
 };
 
 /// How often the contents of the heartbeat are renewed.
@@ -271,7 +271,7 @@
 
 /// Handles the events of the links and renews the heartbeat until the daemon exits.
 pub async fn run(cx: Arc<Shared>, peers: Peers) {
-    task::spawn(run_periodic_updates(Arc::clone(&cx), peers.clone()));
+    spawn_essential("updates for peers", run_periodic_updates(Arc::clone(&cx), peers.clone()));
     while let Ok(event) = peers.inner.events.recv().await {
         match event {
             PeerEvent::Up { peer, failure_domain, .. } => {
--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -15,7 +15,7 @@
 use async_std::{net::TcpListener, task};
 use bytes::Bytes;
 use futures::future::{AbortHandle, abortable};
-use stdx::{Name, value_type};
+use stdx::{Name, panics, value_type};
 use thiserror::Error;
 
 use crate::{
@@ -225,7 +225,8 @@
             next_serial: AtomicU64::new(1),
             accepted: AtomicUsize::new(0),
         });
-        let (run, accept) = abortable(accept_loop(listener, Arc::clone(&shared)));
+        let accept = accept_loop(listener, Arc::clone(&shared));
+        let (run, accept) = abortable(panics::essential("listener for peers", accept));
         task::spawn(run);
         Ok(Self { shared, address, accept, dialled: Mutex::default() })
     }
@@ -251,7 +252,8 @@
                 dialled.insert((*id).clone(), DialTask { address: *address, _stop: stop_tx });
                 let peer = Peer { id: (*id).clone(), address: *address };
                 let dialled = link::DialledPeer { id: peer.id.clone(), stop };
-                task::spawn(dial::run(Arc::clone(&self.shared), peer, dialled));
+                let run = dial::run(Arc::clone(&self.shared), peer, dialled);
+                task::spawn(panics::essential("link to a peer", run));
             }
         }
     }
@@ -461,7 +463,8 @@
         }
         let shared = Arc::clone(&shared);
         task::spawn(async move {
-            link::run(&shared, stream, None).await;
+            // The peer dials again. A panic is on the error output; here it only ends this link.
+            let _ = panics::catch(link::run(&shared, stream, None)).await;
             shared.accepted.fetch_sub(1, Ordering::Relaxed);
         });
     }
--- a/crates/stdx/src/lib.rs
+++ b/crates/stdx/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`header_text`]: text that can be the value of an HTTP header.
 //! - [`jsonc`]: reads JSON with comments and reports errors with file, line and column.
 //! - [`name`]: the shared immutable string type.
+//! - [`panics`]: contains panics, so that whoever waits for a task learns of its end.
 //! - [`rng`]: the seeded random number generator.
 //! - [`time`]: the monotonic timestamp, passed as an argument to code that makes decisions.
 
@@ -11,6 +12,7 @@
 pub mod header_text;
 pub mod jsonc;
 pub mod name;
+pub mod panics;
 pub mod rng;
 pub mod time;
 
