Place an item again, however many targets crash under it

Cause: crashes under an item counted as evidence that it is poison. Each pair of deaths was a verdict; the second one paused the item for 10 s, the third for good. Prompt parts that items share with other requests collected their crashes as well. Items are handed in for later and do not crash targets by themselves, so no crash says anything about them.

Hypotheses before the change: (1) the third verdict is final: an_item_under_which_many_targets_crashed_is_placed_again_at_once shows the pauses of the verdicts; (2) isolation starves suspects: the log counts the announcements of claims; (3) the retry budget refuses items: it puts each off by at most 1 s, after which the owner submits it anew.

Change: a request that is known to be harmless has no history of crashes, no verdict and no claims, and adds no evidence against prompt parts. Online requests, also those that do crash targets, are treated as before.

--- a/crates/borageshed/src/api/inference.rs
+++ b/crates/borageshed/src/api/inference.rs
@@ -81,6 +81,7 @@
         first_attempt: None,
         prefix: Some(prepared.prefix),
         shared_parts: Vec::new(),
+        harmless: false,
         message: Arc::new(Message {
             method: Method::Post,
             path: req.url().path().to_owned(),
--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -197,6 +197,7 @@
         first_attempt: hints.first_attempt,
         prefix: hints.shared_prefix.filter(|_| route.affinity),
         shared_parts: hints.shared_parts,
+        harmless: false,
         message: Arc::new(message),
     }
 }
--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -108,6 +108,7 @@
         max_attempts: u32::MAX,
         prefix: None,
         shared_parts: Vec::new(),
+        harmless: false,
         fingerprint: [0; 32],
     };
     let admission = cx.control.submit(request, Some(identity.account.id));
--- a/crates/borageshed/src/api/plain.rs
+++ b/crates/borageshed/src/api/plain.rs
@@ -171,6 +171,7 @@
         first_attempt: None,
         prefix: None,
         shared_parts: Vec::new(),
+        harmless: false,
         message: Arc::new(message),
     }
 }
--- a/crates/borageshed/src/batch_work/prepare.rs
+++ b/crates/borageshed/src/batch_work/prepare.rs
@@ -85,6 +85,7 @@
             first_attempt: None,
             prefix: Some(prepared.prefix),
             shared_parts: Vec::new(),
+            harmless: false,
             message: Arc::new(message),
         });
     }
@@ -116,6 +117,7 @@
         first_attempt: None,
         prefix: None,
         shared_parts: Vec::new(),
+        harmless: false,
         message: Arc::new(Message { method, path, headers, body }),
     })
 }
--- a/crates/borageshed/src/job_work/call.rs
+++ b/crates/borageshed/src/job_work/call.rs
@@ -48,7 +48,8 @@
         version: None,
         first_attempt: None,
         prefix: None,
-        shared_parts: platform::ingress::item_shared_parts(item),
+        shared_parts: Vec::new(),
+        harmless: true,
         message: Arc::new(Message {
             method: Method::Post,
             path: item.path.to_string(),
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -11,7 +11,7 @@
 use http_edge::client::{Failure, Progress, SendError};
 use http_types::Response;
 use jobs::ItemEnd;
-use policy::dispatch::{FailureCause, Reason, Refusal};
+use policy::dispatch::{FailureCause, Reason};
 use slog::{debug, info};
 use stdx::Name;
 
@@ -97,8 +97,6 @@
 /// Properties of an item that the dispatcher needs besides the call.
 #[derive(Debug, Clone, Copy)]
 pub struct DispatchTerms {
-    /// How often the dispatcher refused the item as poison.
-    pub poison_verdicts: u32,
     /// How long the item leaves the large reserve of slots of a target free.
     pub large_reserve_time: Duration,
 }
@@ -143,11 +141,6 @@
     let mut req = call.dispatch_request(now);
     req.large_reserve_until = now + terms.large_reserve_time;
     req.version = output.lock().version().cloned();
-    // A poison verdict holds for an hour and may be wrong. With the number of verdicts mixed into the fingerprint, an earlier
-    // verdict does not apply to the next run.
-    for (byte, salt) in req.fingerprint.iter_mut().zip(terms.poison_verdicts.to_le_bytes()) {
-        *byte ^= salt;
-    }
     let Ok(mut admission) = cx.control.submit(req, None) else {
         return AttemptOutcome::Refused(MAX_RETRY_DELAY);
     };
@@ -172,7 +165,7 @@
                     // What has arrived does not fit to the output of the versions that are left.
                     *output.lock() = EventData::default();
                 }
-                return refusal_outcome(&refusal);
+                return AttemptOutcome::Refused(refusal.retry_after);
             }
             Some(Directive::OverRate(_)) | None => {
                 return AttemptOutcome::Ended(ItemEnd::Interrupted);
@@ -327,13 +320,6 @@
     }
 }
 
-fn refusal_outcome(refusal: &Refusal) -> AttemptOutcome {
-    match refusal.reason {
-        Reason::Poison => AttemptOutcome::Ended(ItemEnd::Poison),
-        _ => AttemptOutcome::Refused(refusal.retry_after),
-    }
-}
-
 fn on_interrupted(admission: Admission, directive: Option<Directive>) -> AttemptOutcome {
     match directive {
         Some(Directive::Yield) => {
@@ -346,7 +332,7 @@
         }
         Some(Directive::Refuse(refusal)) => {
             admission.refused();
-            refusal_outcome(&refusal)
+            AttemptOutcome::Refused(refusal.retry_after)
         }
         Some(Directive::OverRate(_)) | None => {
             // The dispatcher's decision on the request is not known, so the attempt counts as failed.
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -297,12 +297,8 @@
                 let (tokens, events) = (job.run.item(index).tokens, ended.output.event_count());
                 self.run_times.record(tokens, events, ran_for);
             }
-            ItemEnd::Interrupted | ItemEnd::Poison => {
-                let delay = match ended.end {
-                    ItemEnd::Poison => job.run.pause_after_poison(index),
-                    _ => ended.retry_delay,
-                };
-                let retry_at = self.cx.clock.now() + delay;
+            ItemEnd::Interrupted => {
+                let retry_at = self.cx.clock.now() + ended.retry_delay;
                 job.interrupted
                     .insert(index, InterruptedItem { output: ended.output, ran_for, retry_at });
             }
@@ -351,7 +347,6 @@
         let (cx, events, id) = (Arc::clone(&self.cx), self.events.clone(), id.clone());
         let claim = job.claim;
         let terms = DispatchTerms {
-            poison_verdicts: job.run.poison_verdicts(index),
             large_reserve_time: if self.has_slack { LARGE_RESERVE_TIME } else { Duration::ZERO },
         };
         let placement_tx = events.clone();
--- a/crates/borageshed/src/online/call.rs
+++ b/crates/borageshed/src/online/call.rs
@@ -56,6 +56,8 @@
     pub prefix: Option<u64>,
     /// The hashes of the prompt parts that other requests may share, in the order of the prompt.
     pub shared_parts: Vec<u64>,
+    /// Whether it is known that the request does not crash targets by itself.
+    pub harmless: bool,
     /// The message for the target.
     pub message: Arc<Message>,
 }
@@ -111,6 +113,7 @@
             prefix: self.prefix,
             shared_parts: self.shared_parts.iter().map(|it| self.part_id(*it)).collect(),
             fingerprint: self.fingerprint(),
+            harmless: self.harmless,
         }
     }
 
@@ -151,6 +154,8 @@
             hash.update(part);
         }
         hash.update(&self.message.body);
+        // A verdict on an equal request of another kind says nothing about a harmless one.
+        hash.update([u8::from(self.harmless)]);
         hash.finalize().into()
     }
 }
--- a/crates/borageshed/tests/crashes.rs
+++ b/crates/borageshed/tests/crashes.rs
@@ -50,3 +50,34 @@
     assert!(idle < MAX_IDLE, "{idle:?}");
     Ok(())
 }
+
+// Guards against a sound item that is never placed again after a burst of crashes, although targets have room.
+#[async_std::test]
+async fn an_item_under_which_many_targets_crashed_is_placed_again_at_once() -> io::Result<()> {
+    const CRASHES: usize = 8;
+    const MAX_PAUSE: Duration = Duration::from_secs(4);
+    let site = Site::start(&[]).await?;
+    let body = operator::job_body_with_shared_part(&["i-1"]);
+    let submission = Call::post(JOBS, body).key(KEY).header("x-request-id", "job");
+    assert_eq!(site.send(submission).await.status, 202);
+    let mut pauses = Vec::new();
+    for n in 0..CRASHES {
+        let target = Target::start(Behaviour::Crash).await?;
+        operator::register(&site.platform, &format!("t-{n}"), target.address());
+        let started = Instant::now();
+        let has_crashed = async || !target.requests().is_empty();
+        wait::wait_until(
+            "the target has crashed",
+            MAX_IDLE,
+            Duration::from_millis(20),
+            has_crashed,
+        )
+        .await?;
+        pauses.push(started.elapsed());
+        operator::unregister(&site.platform, &format!("t-{n}"));
+    }
+    assert!(pauses[1..].iter().all(|it| *it < MAX_PAUSE), "{pauses:?}");
+    let healthy = Target::start(stream(3, 0)).await?;
+    operator::register(&site.platform, "t-healthy", healthy.address());
+    site.wait_for_results("job", 1).await
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -22,12 +22,6 @@
 /// The minimum time between two writes of the index entry while items are left. Each write wakes every daemon that runs items,
 /// while an outdated entry, which still counts finished items, only delays further submissions of the account.
 const INDEX_INTERVAL: Duration = Duration::from_secs(3);
-/// How long an item waits after its first and its second verdict as poison; after the third, it waits until its job is given up.
-/// Each verdict may be wrong, since a network partition looks like the loss of the targets behind it. An item that does crash
-/// targets crashes at most six of them, two of them after the pause.
-const POISON_PAUSES: [Duration; 2] = [Duration::ZERO, Duration::from_secs(10)];
-/// Longer than any job runs.
-const UNTIL_GIVEN_UP: Duration = Duration::from_secs(100 * 24 * 3_600);
 /// The maximum size of the results in one transaction, in bytes.
 const MAX_RESULT_BYTES: usize = 2_000_000;
 
@@ -43,10 +37,8 @@
         Impossible,
         /// The target failed while running the item.
         Failed,
-        /// The run was interrupted for a reason unrelated to the item.
+        /// The run was interrupted for a reason unrelated to the item; the crash of its target is one.
         Interrupted,
-        /// The item ran on targets that died, and the dispatcher judged it to be poison.
-        Poison,
     }
 }
 
@@ -62,7 +54,6 @@
     waiting: VecDeque<usize>,
     running: BTreeSet<usize>,
     failures: Vec<u32>,
-    poison_verdicts: Vec<u32>,
     /// Results that are not stored yet.
     unstored: VecDeque<(usize, ItemResult)>,
     /// The encoded results in the transaction in flight, if there is one. A transaction without results stores only a
@@ -93,7 +84,7 @@
     ) -> Self {
         assert_eq!(record.listed.len(), stored.len(), "the record lists the stored results");
         let waiting = (0..items.len()).filter(|it| !record.listed.contains(it)).collect();
-        let (failures, poison_verdicts) = (vec![0; items.len()], vec![0; items.len()]);
+        let failures = vec![0; items.len()];
         Self {
             id,
             record,
@@ -103,7 +94,6 @@
             waiting,
             running: BTreeSet::new(),
             failures,
-            poison_verdicts,
             unstored: VecDeque::new(),
             storing: None,
             has_checkpoint: false,
@@ -143,17 +133,6 @@
         self.stored.get(position..).unwrap_or_default()
     }
 
-    /// Returns how often an item was judged to be poison.
-    pub fn poison_verdicts(&self, index: usize) -> u32 {
-        self.poison_verdicts[index]
-    }
-
-    /// Returns how long an item is to wait if its current run ends with another verdict as poison.
-    pub fn pause_after_poison(&self, index: usize) -> Duration {
-        let pause = POISON_PAUSES.get(self.poison_verdicts[index] as usize);
-        pause.copied().unwrap_or(UNTIL_GIVEN_UP)
-    }
-
     /// Returns the indexes of the waiting items.
     pub fn waiting(&self) -> impl Iterator<Item = usize> {
         self.waiting.iter().copied()
@@ -179,10 +158,6 @@
                 (is_exhausted || self.may_give_up(now))
                     .then_some((ItemState::Failed, String::new()))
             }
-            ItemEnd::Poison => {
-                self.poison_verdicts[index] += 1;
-                self.may_give_up(now).then_some((ItemState::Failed, String::new()))
-            }
             ItemEnd::Interrupted => {
                 self.may_give_up(now).then_some((ItemState::Failed, String::new()))
             }
--- a/crates/policy/examples/dispatch-experiment/cost.rs
+++ b/crates/policy/examples/dispatch-experiment/cost.rs
@@ -121,6 +121,7 @@
         large_reserve_until: Timestamp::ZERO,
         prefix: Some(id % 64),
         shared_parts: Vec::new(),
+        harmless: false,
         fingerprint,
     }
 }
--- a/crates/policy/examples/dispatch-experiment/sim.rs
+++ b/crates/policy/examples/dispatch-experiment/sim.rs
@@ -355,6 +355,7 @@
             large_reserve_until: Timestamp::ZERO,
             prefix: None,
             shared_parts: Vec::new(),
+            harmless: false,
             fingerprint,
         }
     }
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -185,7 +185,10 @@
         }
         let (service, fingerprint) = (held.service, held.request.fingerprint);
         let was_announced = !as_suspect && self.poison.is_suspect(&fingerprint);
-        let result = self.poison.end_attempt(&self.settings, now, &fingerprint, &target, end);
+        let result = match held.request.harmless {
+            true => AttemptResult::Retryable,
+            false => self.poison.end_attempt(&self.settings, now, &fingerprint, &target, end),
+        };
         if result == AttemptResult::NewDeath {
             self.report_target_death(now, service, &target, fingerprint, since);
         }
--- a/crates/policy/src/dispatch/part_evidence.rs
+++ b/crates/policy/src/dispatch/part_evidence.rs
@@ -29,10 +29,13 @@
     }
 
     /// Returns the parts that may have crashed the target of a request in flight; none if the target survived the beginning of
-    /// an answer to the request.
+    /// an answer to the request, or if the request is known to be harmless.
     pub(super) fn suspect_parts(&self, id: u64) -> Vec<PartId> {
         let held = &self.requests[&id];
-        if held.has_output { Vec::new() } else { held.request.shared_parts.clone() }
+        match held.has_output || held.request.harmless {
+            true => Vec::new(),
+            false => held.request.shared_parts.clone(),
+        }
     }
 
     /// Handles the crash of a target on which a request of this instance with these parts was in flight without output.
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -274,7 +274,9 @@
             // A request with the same fingerprint completed since the claim, so this one is no longer a suspect.
             self.actions.push(Action::ShareClaim { to: None, claim });
         }
-        self.poison.start_attempt(&request.fingerprint, &target);
+        if !request.harmless {
+            self.poison.start_attempt(&request.fingerprint, &target);
+        }
         *target_state.own.class_mut(request.class) += 1;
         target_state.record_peak();
         target_state.own.suspects += u32::from(as_suspect);
--- a/crates/policy/src/dispatch/request.rs
+++ b/crates/policy/src/dispatch/request.rs
@@ -61,6 +61,9 @@
         pub shared_parts: Vec<PartId>,
         /// The hash of everything that determines what the request does to a target.
         pub fingerprint: Fingerprint,
+        /// Whether it is known that the request does not crash targets by itself, so that crashes of its targets say nothing about
+        /// it. No other request may have its fingerprint.
+        pub harmless: bool,
     }
 }
 
--- a/crates/policy/tests/dispatch_attempts.rs
+++ b/crates/policy/tests/dispatch_attempts.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use dispatch_support::{Bench, SECOND, dispatches, online, refusals, target};
+use dispatch_support::{Bench, SECOND, batch, dispatches, online, refusals, target};
 use policy::dispatch::{
     Action, Event, Execution, FailureCause, HealthState, NotRunCause, Reason, Request, TargetInfo,
 };
@@ -159,3 +159,29 @@
     let poisoned = refusals(&actions).into_iter().filter(|(_, it)| *it == Reason::Poison);
     assert_eq!(poisoned.count(), 0);
 }
+
+// Guards against an item of a job that isolation or a verdict keeps from free targets because targets crashed under it.
+#[test]
+fn a_harmless_request_is_placed_again_after_any_number_of_crashes() {
+    const CRASHES: u64 = 7;
+    let names: Vec<String> = (0..=CRASHES).map(|it| format!("t{it}")).collect();
+    let targets: Vec<_> = names.iter().map(|it| target(it, "z1", 4)).collect();
+    let mut bench = Bench::new(&targets);
+    let item = |id| Request { harmless: true, fingerprint: [7; 32], ..batch(id) };
+    let mut id = 1;
+    let mut placed = dispatches(&bench.submit(item(id)));
+    for n in 0..CRASHES {
+        assert_eq!(placed.len(), 1, "after {n} crashes: {placed:?}");
+        let actions = bench.event(failed(id, FailureCause::Crashed));
+        placed = dispatches(&actions);
+        match refusals(&actions)[..] {
+            [] => {}
+            // The owner of an item submits it again.
+            [(_, Reason::RetryBudget)] => {
+                id += 1;
+                placed = dispatches(&bench.submit(item(id)));
+            }
+            ref refused => panic!("after {n} crashes: {refused:?}"),
+        }
+    }
+}
--- a/crates/policy/tests/dispatch_support/mod.rs
+++ b/crates/policy/tests/dispatch_support/mod.rs
@@ -58,6 +58,7 @@
         max_attempts: u32::MAX,
         prefix: None,
         shared_parts: Vec::new(),
+        harmless: false,
         fingerprint,
     }
 }
