Cut an answer visibly if its queue is full when it is stopped

Cause: AnswerForwarder::stop put an error into the queue of pieces without a wait and dropped it if the queue was full. The connection takes the end of the queue for the end of the body. While it waited for room in the queue, the forwarder noticed neither the deadline nor a directive.

Why it works: a queue that has no room for the error belongs to a caller that does not read; its connection is closed, so that the framing breaks. The wait for room ends with the deadline, a directive or the caller. Each stop is logged with the request's id.

--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -14,7 +14,7 @@
 use http_types::{Body, Request, Response, StatusCode};
 use policy::dispatch::FailureCause;
 use serde_json::json;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
 
 use super::{
@@ -117,7 +117,11 @@
     async fn forward_bytes(self, mut res: Response, first: Vec<u8>, tx: Sender) {
         let mut piece = first;
         let mut buf = vec![0; MAX_PIECE_BYTES];
-        while self.deliver(&tx, piece).await {
+        loop {
+            match self.deliver(&tx, piece).await {
+                Delivery::Accepted => {}
+                Delivery::Stopped => return self.stop(&tx),
+            }
             piece = match self.read(&mut res, &mut buf).await {
                 Read::Piece(n) => buf[..n].to_vec(),
                 Read::End => return self.complete(None),
@@ -125,7 +129,7 @@
                     drop(res);
                     return self.fail(&tx, e).await;
                 }
-                Read::Stopped => return self.stop(&tx).await,
+                Read::Stopped => return self.stop(&tx),
             };
         }
     }
@@ -158,8 +162,9 @@
                             splitter.event_count(),
                         );
                     }
-                    if !self.deliver(&tx, whole).await {
-                        return;
+                    match self.deliver(&tx, whole).await {
+                        Delivery::Accepted => {}
+                        Delivery::Stopped => return self.stop(&tx),
                     }
                 }
                 EventRead::End => return self.complete(Some(splitter.event_count())),
@@ -207,7 +212,7 @@
                     if !self.caller.is_closed() {
                         self.deliver_error_event(&tx).await;
                     }
-                    return self.stop(&tx).await;
+                    return self.stop(&tx);
                 }
             }
         }
@@ -223,7 +228,10 @@
     /// Sends the error event to callers that expect one.
     async fn deliver_error_event(&self, tx: &Sender) {
         match self.cx.settings.source {
-            FleetSource::Document => drop(self.deliver(tx, ERROR_EVENT.as_bytes().to_vec()).await),
+            FleetSource::Document => {
+                // The answer ends after this event in any case.
+                let _ = self.deliver(tx, ERROR_EVENT.as_bytes().to_vec()).await;
+            }
             // These callers treat every event as one from the target.
             FleetSource::Operator => {}
         }
@@ -373,6 +381,16 @@
         if self.call.deadline.is_some_and(|it| it <= self.cx.clock.now()) {
             return Read::Stopped;
         }
+        match select(Box::pin(self.stopped()), Box::pin(res.read(buf))).await {
+            Either::Left(_) => Read::Stopped,
+            Either::Right((Ok(0), _)) => Read::End,
+            Either::Right((Ok(n), _)) => Read::Piece(n),
+            Either::Right((Err(e), _)) => Read::Broken(e),
+        }
+    }
+
+    /// Waits for a directive, the deadline or the close of the caller's connection.
+    async fn stopped(&self) {
         let directive_or_gone =
             select(Box::pin(self.admission.next()), Box::pin(self.caller.closed()));
         let deadline_passed = async {
@@ -381,22 +399,18 @@
                 None => futures::future::pending().await,
             }
         };
-        let stopped = select(directive_or_gone, Box::pin(deadline_passed));
-        match select(stopped, Box::pin(res.read(buf))).await {
-            Either::Left(_) => Read::Stopped,
-            Either::Right((Ok(0), _)) => Read::End,
-            Either::Right((Ok(n), _)) => Read::Piece(n),
-            Either::Right((Err(e), _)) => Read::Broken(e),
-        }
+        select(directive_or_gone, Box::pin(deadline_passed)).await;
     }
 
-    /// Sends a piece to the caller; returns whether the caller still reads.
-    async fn deliver(&self, tx: &Sender, piece: Vec<u8>) -> bool {
+    /// Sends a piece to the caller, which may read slowly.
+    async fn deliver(&self, tx: &Sender, piece: Vec<u8>) -> Delivery {
         if piece.is_empty() {
-            return true;
+            return Delivery::Accepted;
+        }
+        match select(Box::pin(tx.send(Ok(piece))), Box::pin(self.stopped())).await {
+            Either::Left((Ok(()), _)) => Delivery::Accepted,
+            Either::Left((Err(_), _)) | Either::Right(_) => Delivery::Stopped,
         }
-        let gone = Box::pin(self.caller.closed());
-        matches!(select(Box::pin(tx.send(Ok(piece))), gone).await, Either::Left((Ok(()), _)))
     }
 
     fn complete(self, tokens: Option<u64>) {
@@ -414,9 +428,17 @@
     }
 
     /// Ends the answer because of a directive, the deadline or a caller that has gone.
-    async fn stop(self, tx: &Sender) {
+    fn stop(self, tx: &Sender) {
         let error = io::Error::new(io::ErrorKind::ConnectionAborted, "the request was stopped");
-        let _ = tx.try_send(Err(error));
+        let is_queue_full = tx.try_send(Err(error)).is_err();
+        debug!(
+            self.cx.log, "answer stopped";
+            "request" => &self.call.request_id, "caller_gone" => self.caller.is_closed(), "queue_full" => is_queue_full
+        );
+        if is_queue_full {
+            // Without the error, the end of the queue would be the end of a complete answer.
+            self.caller.close();
+        }
     }
 }
 
@@ -432,6 +454,13 @@
     Refused,
 }
 
+/// What became of a piece for the caller.
+enum Delivery {
+    Accepted,
+    /// The answer ends here: a directive arrived, the deadline passed or the caller has gone.
+    Stopped,
+}
+
 enum Read {
     Piece(usize),
     End,
