Keep the line of a first event with empty data in the text of an item

Callers of jobs got a text that lacks the line feed after its first events if their data is empty: the text of the events "" and "b" was "b" in place of "\nb" (found by reading in the review; a text that is not the whole output).

Cause: whether a line feed is due was read from the text, which is empty before and after such an event. It is state of its own now, which a checkpoint restores from its number of events.

--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -15,6 +15,8 @@
 pub struct EventData {
     splitter: EventSplitter,
     text: String,
+    /// Whether `text` holds the data of an event; the data may be empty.
+    has_data: bool,
     /// The version of the target that sent the first event, or of the current one before the first event.
     version: Option<Name>,
 }
@@ -25,7 +27,7 @@
         // An output of an unknown version cannot be continued.
         let Some(version) = version else { return Self::default() };
         let splitter = EventSplitter::resume(events, last_event);
-        Self { splitter, text, version: Some(version) }
+        Self { splitter, text, has_data: events > 0, version: Some(version) }
     }
 }
 
@@ -107,7 +109,7 @@
             return;
         }
         for line in data {
-            if !self.text.is_empty() {
+            if std::mem::replace(&mut self.has_data, true) {
                 self.text.push('\n');
             }
             self.text.push_str(line.strip_prefix(' ').unwrap_or(line));
--- /dev/null
+++ b/crates/borageshed/tests/event_data.rs
@@ -0,0 +1,33 @@
+//! Tests how the data of a stream's events becomes the text of an item.
+
+use borageshed::online::event_data::EventData;
+use stdx::Name;
+
+fn text_of(pieces: &[&str]) -> String {
+    let mut data = EventData::default();
+    for piece in pieces {
+        data.push(piece.as_bytes()).expect("a short stream");
+    }
+    data.text().to_owned()
+}
+
+// Guards against a text that lacks the line feed after a first event with empty data.
+#[test]
+fn empty_data_of_the_first_events_is_a_line_of_its_own() {
+    assert_eq!(text_of(&["id: 1\ndata: \n\nid: 2\ndata: b\n\n"]), "\nb");
+    assert_eq!(text_of(&["data:\n\n", "data:\n\n", "data: c\n\n"]), "\n\nc");
+    assert_eq!(text_of(&["data: a\n\n", "data:\n\n", "data: c\n\n"]), "a\n\nc");
+    assert_eq!(text_of(&["data:\n\n"]), "");
+}
+
+// Guards against the same line feed that is lost when another daemon continues the item after a checkpoint.
+#[test]
+fn a_checkpoint_after_an_event_with_empty_data_is_continued_on_a_line_of_its_own() {
+    let mut data = EventData::default();
+    data.begin_attempt(&Name::new("1"));
+    data.push(b"id: 1\ndata:\n\n").expect("a short stream");
+    let mut continued = EventData::from(data.partial_output().expect("an event"));
+    continued.begin_attempt(&Name::new("1"));
+    continued.push(b"id: 2\ndata: b\n\n").expect("the next event");
+    assert_eq!(continued.text(), "\nb");
+}
