Log why an item's attempt ended without a run

The attempt was not sent, or its target did not run it; both ends are logged now, with the time that they took. No decision changes.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -13,7 +13,7 @@
 use jobs::ItemEnd;
 use policy::dispatch::{FailureCause, Reason};
 use slog::{debug, info};
-use stdx::Name;
+use stdx::{Name, Timestamp};
 
 use crate::{
     control::{Admission, Directive},
@@ -185,6 +185,7 @@
     let last_event = output.lock().begin_attempt(version);
     let req = address.and_then(|it| protocol::request(cx, call, it, target, last_event));
     let (Some(address), Some(req)) = (address, req) else {
+        debug!(cx.log, "item not sent: its target has gone"; "request" => &call.request_id, "target" => %target);
         admission.failed_before_send();
         return AttemptOutcome::AwaitDirective(admission);
     };
@@ -198,6 +199,10 @@
     let res = match outcome {
         SendOutcome::Answered(res) => *res,
         SendOutcome::Failed(e) if e.progress == Progress::NotSent => {
+            debug!(
+                cx.log, "item not sent";
+                "request" => &call.request_id, "target" => %target, "error" => %e, "after_ms" => millis_since(cx, started)
+            );
             admission.failed_before_send();
             return AttemptOutcome::AwaitDirective(admission);
         }
@@ -210,6 +215,10 @@
         SendOutcome::Interrupted(directive) => return on_interrupted(admission, directive),
     };
     if let Some(cause) = protocol::not_run_cause(cx, call, target, &res, started) {
+        debug!(
+            cx.log, "target did not run the item";
+            "request" => &call.request_id, "target" => %target, "cause" => ?cause, "after_ms" => millis_since(cx, started)
+        );
         admission.not_run(cause);
         return AttemptOutcome::AwaitDirective(admission);
     }
@@ -261,6 +270,10 @@
     }
 }
 
+fn millis_since(cx: &Shared, started: Timestamp) -> u64 {
+    cx.clock.now().since(started).as_millis() as u64
+}
+
 enum ReadOutcome {
     Whole,
     Broken(io::Error),
