Answer every request before a drain closes its connection

Cause: nothing that passes requests on knew when the drain ends.

Change: DrainSchedule knows the end. A request that may run once, and a stream, is passed on only if all of its time fits before the end, others if the time fits in which their callers expect an answer; else they get 503 at once with Retry-After, and Connection: close, and have not run. Waiting requests are refused the same way when their time comes. What has been passed on and has no answer 300 ms before the end gets 504.

--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -189,14 +189,17 @@
 async fn drain(cx: &Arc<Shared>, callers: Option<&Server<Arc<Shared>>>, peers: &Peers) {
     let limits = &cx.settings.limits;
     info!(cx.log, "drain starting"; "requests" => cx.control.open_requests());
+    let lead = Duration::from_millis(limits.drain_lead_ms);
+    let limit = Duration::from_millis(limits.drain_ms);
+    cx.drain.start(cx.clock.now() + lead + limit);
     cx.draining.set();
     peers.announce_leaving();
     let mut cut = 0;
     if let Some(callers) = callers {
         // The load balancer polls the readiness of the instance, and sends connections until it sees the change.
         callers.close_after_answers();
-        task::sleep(Duration::from_millis(limits.drain_lead_ms)).await;
-        cut = callers.drain(Duration::from_millis(limits.drain_ms)).await.closed_at_deadline;
+        task::sleep(lead).await;
+        cut = callers.drain(limit).await.closed_at_deadline;
     }
     if cx.settings.batch.enabled && cx.settings.source == FleetSource::Document {
         // Segments that are not released are taken over by other instances when the lease lapses.
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`daemon`]: starts, runs and drains the daemon.
 //! - [`settings`], [`logging`], [`clock`], [`metrics`], [`status`]: settings, time and observability.
 //! - [`summary`]: logs totals at a fixed interval.
+//! - [`drain`]: what a drain still passes on, and when it answers the rest.
 //! - [`retirement`]: empties an instance that the operator removes.
 //! - [`shared`]: the state that all tasks share.
 //! - [`control`]: the control thread, which takes every decision about a request.
@@ -36,6 +37,7 @@
 pub mod control;
 pub mod daemon;
 pub mod directory;
+pub mod drain;
 pub mod effects;
 pub mod idempotency;
 pub mod in_force;
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -213,7 +213,12 @@
     ) -> std::result::Result<T, Interrupt> {
         let time_left = self.deadline.since(self.cx.clock.now()).max(Duration::from_millis(1));
         let directive_or_gone = select(Box::pin(admission.next()), Box::pin(self.caller.closed()));
-        let interrupted = select(directive_or_gone, Box::pin(task::sleep(time_left)));
+        // A drain ends all requests a little before it closes their connections.
+        let time_over = select(
+            Box::pin(task::sleep(time_left)),
+            Box::pin(self.cx.drain.answer_due(&self.cx.clock)),
+        );
+        let interrupted = select(directive_or_gone, time_over);
         match select(Box::pin(step), interrupted).await {
             Either::Left((done, _)) => Ok(done),
             Either::Right((Either::Left((Either::Left((directive, _)), _)), _)) => {
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -27,7 +27,7 @@
     server::Caller,
 };
 use http_types::Response;
-use slog::debug;
+use slog::{debug, info};
 
 use crate::{
     burn,
@@ -78,6 +78,9 @@
 }
 
 async fn run_call(cx: &Arc<Shared>, call: Call, caller: &Caller) -> Ended {
+    if let Some(problem) = cx.drain.refusal(&call, cx.clock.now()) {
+        return Ended::Refused(problem);
+    }
     let admission = match cx.control.submit(call.dispatch_request(cx.clock.now()), call.account_id)
     {
         Ok(admission) => admission,
@@ -87,10 +90,16 @@
     let mut next_admission = Some(admission);
     // The error answer of a failed attempt; it is delivered if no other attempt follows.
     let mut failed_answer = None;
+    let mut is_passed_on = false;
     while let Some(admission) = next_admission.take() {
-        let next = match select(Box::pin(admission.next()), Box::pin(caller.closed())).await {
+        let late_or_gone =
+            select(Box::pin(cx.drain.too_late(&cx.clock, &call)), Box::pin(caller.closed()));
+        let next = match select(Box::pin(admission.next()), late_or_gone).await {
             Either::Left((directive, _)) => directive,
-            Either::Right(_) => return Ended::CallerGone,
+            Either::Right((Either::Right(_), _)) => return Ended::CallerGone,
+            Either::Right((Either::Left(_), _)) => {
+                return end_too_late(cx, &call, is_passed_on, failed_answer);
+            }
         };
         match next {
             Some(Directive::Dispatch { target, version, attempt }) => {
@@ -100,6 +109,7 @@
                     "request" => &call.request_id, "target" => %target, "version" => %version, "attempt" => attempt,
                     "waited_ms" => cx.clock.now().since(received).as_millis() as u64
                 );
+                is_passed_on = true;
                 match attempt::run(cx, &call, admission, (&target, &version), caller).await {
                     AttemptEnd::Answered(res) => return Ended::Answered(res),
                     AttemptEnd::Final(problem) => return Ended::Refused(problem),
@@ -129,6 +139,28 @@
     Ended::Refused(daemon_stopped())
 }
 
+/// Ends a waiting request for which a drain leaves too little time.
+fn end_too_late(
+    cx: &Shared,
+    call: &Call,
+    is_passed_on: bool,
+    failed_answer: Option<Box<Response>>,
+) -> Ended {
+    info!(
+        cx.log, "waiting request ended by the drain";
+        "request" => &call.request_id, "passed_on" => is_passed_on, "has_failed_answer" => failed_answer.is_some()
+    );
+    match (failed_answer, cx.drain.refusal(call, cx.clock.now())) {
+        (Some(res), _) => Ended::Answered(res),
+        (None, Some(problem)) if !is_passed_on => Ended::Refused(problem),
+        (None, _) => Ended::Refused(Problem::new(
+            ProblemKind::TargetFailed,
+            Execution::Unknown,
+            "the instance shuts down before another attempt could be answered",
+        )),
+    }
+}
+
 /// Ends a request that the control thread refused and returns the answer for its caller.
 pub(crate) fn finish_refused(admission: Admission, directive: &Directive) -> Problem {
     match directive {
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -21,8 +21,8 @@
 
 use crate::{
     batch_work, burn::BurnCounters, clock::Clock, control::ControlHandle, directory::Directory,
-    in_force, job_cache::JobCache, logging::DroppedLines, metrics::Metrics, peers::Peers,
-    settings::Settings, streams::Streams,
+    drain::DrainSchedule, in_force, job_cache::JobCache, logging::DroppedLines, metrics::Metrics,
+    peers::Peers, settings::Settings, streams::Streams,
 };
 
 /// The context of every task of a daemon.
@@ -65,6 +65,8 @@
     pub batch: batch_work::Handle,
     /// Set when the daemon has begun to drain.
     pub draining: Signal,
+    /// The schedule of the drain.
+    pub drain: DrainSchedule,
     /// Set when the instance is to be emptied.
     pub retiring: Signal,
     /// Set when the instance has released its claims on jobs and makes no new ones.
@@ -123,6 +125,7 @@
             streams: Streams::default(),
             batch: batch_work::Handle::default(),
             draining: Signal::new(),
+            drain: DrainSchedule::default(),
             retiring: Signal::new(),
             claims_released: Signal::new(),
             item_runners: Mutex::default(),
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -70,6 +70,19 @@
         Ok((entry, SocketAddr::from((self.ip, port))))
     }
 
+    /// Starts another entry daemon as [`Site::start_entry`] does, with these limits.
+    pub async fn start_entry_with(
+        &self,
+        (name, port): (&str, u16),
+        limits: Value,
+    ) -> io::Result<(Process, SocketAddr)> {
+        let mut settings = entry_settings(self.platform.address(), self.ip, name, port);
+        settings["limits"] = limits;
+        let entry = start(&self.folder, name, &settings)?;
+        self.wait_until_ready(port).await?;
+        Ok((entry, SocketAddr::from((self.ip, port))))
+    }
+
     async fn wait_until_ready(&self, port: u16) -> io::Result<()> {
         let ready = Call::get("/readyz");
         let admin = SocketAddr::from((self.ip, port + ADMIN_OFFSET));
