Bound what the answers of all targets make a daemon hold

A faulty target can send an event, or an item's output, without end.

Evidence: unfinished_events_of_many_streams_hold_a_bounded_amount_together fails on (200 streams hold 51,200,000 bytes) and passes here.

Change: unfinished events share 16 MiB and outputs of items 32 MiB beyond a free part of 16 KiB each. A stream that finds its budget used up fails like one that is too long: it is continued elsewhere or broken off, and an item starts anew.

--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -4,17 +4,24 @@
 use jobs::PartialOutput;
 use stdx::Name;
 
-use super::events::{EventSplitter, StreamError};
+use super::{
+    byte_budget::{BudgetShare, ByteBudget},
+    events::{EventSplitter, StreamError},
+};
 
 /// The maximum length of the data of one stream; it leaves room for what JSON adds, so that the data fits into one value of
 /// the key-value service.
 const MAX_DATA_BYTES: usize = 700_000;
 
+/// The bytes of the outputs of all items that the process holds.
+static OUTPUTS: ByteBudget = ByteBudget::new(32 << 20);
+
 /// The data of all whole events so far, separated by line feeds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventData {
     splitter: EventSplitter,
     text: String,
+    text_share: BudgetShare,
     /// Whether `text` holds the data of an event; the data may be empty.
     has_data: bool,
     /// The version of the target that sent the first event, or of the current one before the first event.
@@ -27,7 +34,26 @@
         // An output of an unknown version cannot be continued.
         let Some(version) = version else { return Self::default() };
         let splitter = EventSplitter::resume(events, last_event);
-        Self { splitter, text, has_data: events > 0, version: Some(version) }
+        let mut text_share = OUTPUTS.share();
+        // Without room for what is stored, the item starts anew.
+        match text_share.resize(text.len()) {
+            Ok(()) => {
+                Self { splitter, text, text_share, has_data: events > 0, version: Some(version) }
+            }
+            Err(_) => Self::default(),
+        }
+    }
+}
+
+impl Default for EventData {
+    fn default() -> Self {
+        Self {
+            splitter: EventSplitter::default(),
+            text: String::new(),
+            text_share: OUTPUTS.share(),
+            has_data: false,
+            version: None,
+        }
     }
 }
 
@@ -61,13 +87,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is too long or all data together are.
+    /// Fails if an event is too long, if all data together are, or if the outputs of all items are.
     pub fn push(&mut self, piece: &[u8]) -> Result<(), StreamError> {
         let whole = self.splitter.push(piece)?;
         let whole = String::from_utf8_lossy(&whole);
         for event in whole.split("\n\n").filter(|it| !it.is_empty()) {
             self.push_event(event);
         }
+        self.text_share.resize(self.text.len())?;
         match self.text.len() > MAX_DATA_BYTES {
             true => Err(StreamError::TooLong { limit: MAX_DATA_BYTES }),
             false => Ok(()),
--- a/crates/borageshed/src/online/events.rs
+++ b/crates/borageshed/src/online/events.rs
@@ -5,10 +5,15 @@
 use http_edge::framing::BodyError;
 use thiserror::Error;
 
+use super::byte_budget::{BudgetShare, ByteBudget, OverBudget};
+
 /// The maximum length of an event; a faulty target may send bytes without end.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
-/// A stream exceeds a length limit.
+/// The bytes of unfinished events that the process holds for all streams.
+static UNFINISHED_EVENTS: ByteBudget = ByteBudget::new(16 << 20);
+
+/// A stream exceeds a limit, or does not go on where it broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum StreamError {
     /// An event is too long.
@@ -26,13 +31,19 @@
         /// The limit.
         limit: usize,
     },
+    /// All streams of the process together are too long.
+    #[error(transparent)]
+    OverBudget(#[from] OverBudget),
 }
 
 impl StreamError {
     /// Returns whether an I/O error says that a stream exceeds a length limit.
     pub fn is_limit_in(error: &io::Error) -> bool {
         let stream_error = error.get_ref().and_then(|it| it.downcast_ref::<Self>());
-        matches!(stream_error, Some(Self::EventTooLong | Self::TooLong { .. }))
+        matches!(
+            stream_error,
+            Some(Self::EventTooLong | Self::TooLong { .. } | Self::OverBudget(_))
+        )
     }
 }
 
@@ -43,9 +54,10 @@
 }
 
 /// Buffers the last event until it is complete.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
     partial: Vec<u8>,
+    partial_share: BudgetShare,
     event_count: u64,
     last_id: Option<u64>,
     /// What the answer must be, if a target was asked to go on after `last_id`.
@@ -74,6 +86,18 @@
     }
 }
 
+impl Default for EventSplitter {
+    fn default() -> Self {
+        Self {
+            partial: Vec::new(),
+            partial_share: UNFINISHED_EVENTS.share(),
+            event_count: 0,
+            last_id: None,
+            resumed: Resumed::default(),
+        }
+    }
+}
+
 impl EventSplitter {
     /// Creates a splitter for a stream of which some events are known already.
     pub fn resume(event_count: u64, last_id: u64) -> Self {
@@ -87,7 +111,7 @@
 
     /// Prepares for the answer of another target, which was asked to go on after the last whole event.
     pub fn begin_attempt(&mut self) {
-        self.partial.clear();
+        self.discard_partial();
         self.resumed = Resumed::of(self.last_id);
     }
 
@@ -95,10 +119,12 @@
     ///
     /// # Errors
     ///
-    /// Fails if an event is too long, or if a resumed stream does not go on after the last event.
+    /// Fails if an event is too long, if the unfinished events of all streams together are, or if a resumed stream does not go on
+    /// after the last event.
     pub fn push(&mut self, piece: &[u8]) -> Result<Vec<u8>, StreamError> {
         // The two line feeds at the end of an event may arrive in different pieces.
         let search_start = self.partial.len().saturating_sub(1);
+        self.partial_share.resize(self.partial.len() + piece.len())?;
         self.partial.extend_from_slice(piece);
         let Some(end) = last_event_end(&self.partial[search_start..]).map(|it| search_start + it)
         else {
@@ -109,6 +135,7 @@
         };
         let rest = self.partial.split_off(end);
         let whole = std::mem::replace(&mut self.partial, rest);
+        self.partial_share.resize(self.partial.len())?;
         self.check_resumed(&whole)?;
         self.event_count += count_events(&whole);
         self.last_id = last_id(&whole).or(self.last_id);
@@ -140,7 +167,8 @@
 
     /// Discards the incomplete event at the end of a broken stream.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.partial = Vec::new();
+        self.partial_share = UNFINISHED_EVENTS.share();
     }
 
     /// Checks that the stream has not ended inside an event. A stream without a length looks complete where its connection broke.
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`call`]: a request with everything that dispatch and attempts need.
 //! - [`attempt`]: one attempt on one target.
+//! - [`byte_budget`]: bounds what the answers of all targets together make the process hold.
 //! - [`event_gap`]: measures the time between the events of a stream.
 //! - [`protocol`]: metadata that is exchanged with targets besides requests and answers.
 //! - [`refusal`]: answers to requests that the daemon refuses.
@@ -10,6 +11,7 @@
 //! - `forwarder`: forwards an answer to the caller while it arrives.
 
 pub mod attempt;
+pub mod byte_budget;
 pub mod call;
 pub mod event_data;
 pub mod event_gap;
--- a/crates/borageshed/tests/endless.rs
+++ b/crates/borageshed/tests/endless.rs
@@ -5,6 +5,14 @@
     time::{Duration, Instant},
 };
 
+use async_std::{
+    future::timeout,
+    io::{ReadExt as _, WriteExt as _},
+    net::TcpListener,
+    stream::StreamExt as _,
+    task,
+};
+use futures::future::join_all;
 use operator_site::{KEY, Site, call, stream, submission, wait_until};
 use test_support::{
     http::Call,
@@ -21,6 +29,13 @@
 /// The maximum growth of a daemon's resident memory over all requests of a test, in kilobytes.
 const MAX_GROWTH_KB: u64 = 16 << 10;
 
+/// The memory of the smallest instance, in kilobytes.
+const SMALL_INSTANCE_KB: u64 = 110 << 10;
+const TARGETS: usize = 80;
+const REQUESTS: usize = 600;
+/// An event just below the limit for one event.
+const UNFINISHED: &[u8] = &[b'x'; 250 << 10];
+
 const HEAD_KINDS: [Endless; 3] = [Endless::Head, Endless::EmptyLines, Endless::InterimAnswers];
 const STREAM_KINDS: [Endless; 4] =
     [Endless::ChunkSize, Endless::Trailer, Endless::Event, Endless::Events];
@@ -187,3 +202,54 @@
     }
     Ok(())
 }
+
+/// Accepts connections, answers each with the start of an event that never ends, and keeps the connection open.
+async fn serve_unfinished_events(listener: TcpListener) {
+    let mut incoming = listener.incoming();
+    while let Some(Ok(mut connection)) = incoming.next().await {
+        task::spawn(async move {
+            let mut head = [0; 4 * 1024];
+            // The caller may have gone; then nothing is left to do.
+            let Ok(1..) = connection.read(&mut head).await else { return };
+            let answer =
+                [b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ", UNFINISHED]
+                    .concat();
+            if connection.write_all(&answer).await.is_ok() {
+                task::sleep(2 * TIMEOUT).await;
+            }
+        });
+    }
+}
+
+// Guards against a daemon that runs out of memory, because each of many answers may hold as much as one.
+#[async_std::test]
+async fn unfinished_events_of_many_targets_together_stay_within_the_memory_of_a_small_instance()
+-> io::Result<()> {
+    let site = Site::start(&[]).await?;
+    for n in 0..TARGETS {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        operator::register(&site.platform, &format!("t-{n}"), listener.local_addr()?);
+        task::spawn(serve_unfinished_events(listener));
+    }
+    let ids: Vec<String> = (0..REQUESTS).map(|n| format!("r-{n}")).collect();
+    let requests = join_all(ids.iter().map(async |id| {
+        // Refusals are repeated, so that many answers are open at once. How each ends is not what this test is about.
+        let started = Instant::now();
+        while started.elapsed() < TIMEOUT {
+            let request = call(STREAMS, id).header("host", operator::HOST);
+            let reply = timeout(2 * TIMEOUT, request.send(site.callers())).await;
+            if !reply.is_ok_and(|it| it.is_ok_and(|it| matches!(it.status, 429 | 503))) {
+                break;
+            }
+            task::sleep(Duration::from_millis(100)).await;
+        }
+    }));
+    let mut requests = std::pin::pin!(requests);
+    let mut peak_kb = 0;
+    while timeout(Duration::from_millis(20), &mut requests).await.is_err() {
+        peak_kb = peak_kb.max(site.entry.resident_kb().expect("the daemon runs"));
+    }
+
+    assert!(peak_kb < SMALL_INSTANCE_KB, "{peak_kb} KB");
+    Ok(())
+}
--- a/crates/borageshed/tests/event_data.rs
+++ b/crates/borageshed/tests/event_data.rs
@@ -1,6 +1,6 @@
 //! Tests how the data of a stream's events becomes the text of an item.
 
-use borageshed::online::event_data::EventData;
+use borageshed::online::{event_data::EventData, events::EventSplitter};
 use stdx::Name;
 
 fn text_of(pieces: &[&str]) -> String {
@@ -31,3 +31,24 @@
     continued.push(b"id: 2\ndata: b\n\n").expect("the next event");
     assert_eq!(continued.text(), "\nb");
 }
+
+// Guards against a process that runs out of memory, because each of many streams may hold an event up to the limit for one.
+#[test]
+fn unfinished_events_of_many_streams_hold_a_bounded_amount_together() {
+    const STREAMS: usize = 200;
+    const MAX_TOTAL: usize = 20 << 20;
+    let unfinished = vec![b'x'; 250 << 10];
+    let mut streams: Vec<EventSplitter> = Vec::new();
+    let mut held = 0;
+    for _ in 0..STREAMS {
+        let mut stream = EventSplitter::default();
+        if stream.push(&unfinished).is_ok() {
+            held += unfinished.len();
+            streams.push(stream);
+        }
+    }
+    assert!(held <= MAX_TOTAL, "{held} bytes");
+    // What ended streams held is free again.
+    drop(streams);
+    EventSplitter::default().push(&unfinished).expect("room for an event");
+}
