Refuse a job with an item whose id or header cannot be sent

An item with such an id, or with a line end in a header's value, could not be sent either and waited until it was given up.

Cause: members of an item were believed when the job was accepted and checked only when the request was built, by code that panics.

Evidence: a_job_with_an_item_whose_id_or_header_cannot_be_sent_is_refused fails on (202) and passes here.

Change: submissions with such an item get 400 that names the item and the header, and nothing of the job runs. A request whose header names are not valid, of a job that an earlier version accepted, is not built, instead of panicking.

--- a/crates/borageshed/src/online/call.rs
+++ b/crates/borageshed/src/online/call.rs
@@ -4,7 +4,10 @@
 
 use fleet::QualifiedName;
 use http_edge::raw_target::RawTarget;
-use http_types::{Body, Method, Request, Url, headers::HeaderValue};
+use http_types::{
+    Body, Method, Request, Url,
+    headers::{HeaderName, HeaderValue},
+};
 use policy::{
     dispatch::{self, Class, Fingerprint, PartId},
     rate::AccountId,
@@ -161,14 +164,15 @@
 }
 
 impl Message {
-    /// Builds the request for one attempt; `None` if the address does not form a valid URL.
+    /// Builds the request for one attempt; `None` if the address does not form a valid URL, or if a header has no valid name.
     pub fn request(&self, address: SocketAddr) -> Option<Request> {
         let url = Url::parse(&format!("http://{address}/")).ok()?;
         let mut req = Request::new(self.method, url);
         // A URL would be normalised; the target receives path and query unchanged.
         req.ext_mut().insert(RawTarget::new(&self.path));
         for (name, value) in &self.headers {
-            req.append_header(name.as_str(), value.clone());
+            let name = HeaderName::from_bytes(name.as_bytes().to_vec()).ok()?;
+            req.append_header(name, value.clone());
         }
         if !self.body.is_empty() {
             req.set_body(Body::from_bytes(self.body.clone()));
--- /dev/null
+++ b/crates/borageshed/tests/odd_items.rs
@@ -0,0 +1,49 @@
+//! Submits jobs with items that cannot be sent to a target as they are.
+
+use std::io;
+
+use operator_site::{KEY, Site, stream};
+use serde_json::{Value, json};
+use test_support::{
+    http::{Call, Reply},
+    operator::JOBS,
+    target::Target,
+};
+
+mod operator_site;
+
+async fn submit(site: &Site, id: &str, odd: Value) -> Reply {
+    let sound = json!({ "id": "sound", "path": format!("{JOBS}sound"), "headers": {}, "body": "YQ==", "tokens": 100 });
+    let mut item = sound.clone();
+    item["id"] = json!("odd");
+    item.as_object_mut().expect("an object").extend(odd.as_object().expect("an object").clone());
+    let body = json!({ "items": [sound, item] }).to_string();
+    site.send(Call::post(JOBS, body).key(KEY).header("x-request-id", id)).await
+}
+
+// Guards against an accepted item that can never be sent, so that its job does not end before it is given up.
+#[async_std::test]
+async fn a_job_with_an_item_whose_id_or_header_cannot_be_sent_is_refused() -> io::Result<()> {
+    let target = Target::start(stream(2, 0)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let odd_items = [
+        json!({ "headers": { "x-\u{fc}": "1" } }),
+        json!({ "headers": { "x y": "1" } }),
+        json!({ "headers": { "": "1" } }),
+        json!({ "headers": { "x-a": "1\r\nx-b: 2" } }),
+        json!({ "headers": { "x-a": "f\u{fc}nf" } }),
+        json!({ "id": "f\u{fc}nf" }),
+        json!({ "id": "" }),
+    ];
+    for (n, odd) in odd_items.into_iter().enumerate() {
+        let id = odd["id"].as_str().unwrap_or("odd").to_owned();
+        let reply = submit(&site, &format!("job-{n}"), odd).await;
+        assert_eq!(reply.status, 400, "{}", reply.text());
+        let detail = reply.json()["detail"].to_string();
+        assert!(detail.contains(&id), "the detail names the item: {detail}");
+    }
+    assert_eq!(target.requests().len(), 0);
+    let sound = json!({ "headers": { "X-Model": "m one", "x-empty": "" } });
+    assert_eq!(submit(&site, "job-sound", sound).await.status, 202);
+    site.wait_for_results("job-sound", 2).await
+}
