--- a/crates/borageshed/src/tasks.rs
+++ b/crates/borageshed/src/tasks.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 
 use async_std::task;
+use futures::FutureExt as _;
 use slog::{Logger, error};
 use stdx::panics;
 
@@ -12,13 +13,18 @@
 }
 
 /// Runs the part of a request or item that may panic; `None`, with a log line, if it does.
-pub async fn contain<T>(log: &Logger, request_id: &str, run: impl Future<Output = T>) -> Option<T> {
-    panics::catch(run)
-        .await
-        .inspect_err(
+pub fn contain<T>(
+    log: &Logger,
+    request_id: &str,
+    run: impl Future<Output = T>,
+) -> impl Future<Output = Option<T>> {
+    // As an `async` function, this would hold `run` twice: as its argument and while it waits.
+    panics::catch(run).map(move |it| {
+        it.inspect_err(
             |e| error!(log, "request ended by a panic"; "request" => request_id, "error" => %e),
         )
         .ok()
+    })
 }
 
 /// Sends a notice when a task ends: the given one, or else the one that was set at the start, also if the task panics, is aborted or
--- a/crates/stdx/src/panics.rs
+++ b/crates/stdx/src/panics.rs
@@ -35,8 +35,9 @@
 /// # Errors
 ///
 /// Returns the panic if the future panics. What the future has borrowed mutably may then be incomplete.
-pub async fn catch<T>(run: impl Future<Output = T>) -> Result<T> {
-    AssertUnwindSafe(run).catch_unwind().await.map_err(|payload| Panic::new(&*payload))
+pub fn catch<T>(run: impl Future<Output = T>) -> impl Future<Output = Result<T>> {
+    // As an `async` function, this would hold `run` twice: as its argument and while it waits.
+    AssertUnwindSafe(run).catch_unwind().map(|it| it.map_err(|payload| Panic::new(&*payload)))
 }
 
 /// Runs a task without which the process cannot work.
@@ -44,10 +45,8 @@
 /// # Panics
 ///
 /// Panics if the task panics and [`on_essential_panic`] was not called.
-pub async fn essential(name: &'static str, run: impl Future<Output = ()>) {
-    if let Err(panic) = catch(run).await {
-        report(name, &panic);
-    }
+pub fn essential(name: &'static str, run: impl Future<Output = ()>) -> impl Future<Output = ()> {
+    catch(run).map(move |it| it.unwrap_or_else(|panic| report(name, &panic)))
 }
 
 /// Runs the function of a thread without which the process cannot work.
