Take a stream up at a version only from a list of targets that is confirmed

Callers whose stream broke took it up at an entry daemon that was cut off from the store, or had been stopped, while a target of another version registered and began the stream.

Cause: find_version took the only version of the last list of targets without asking how old that list was, read "no answer" of the daemons that keep origins as "not known", and an instance that knew of one version only never told these daemons. Class: a decision that rests on what an instance last heard.

- Each instance tells two daemons that run items of every stream that it begins, not only while it knows of several versions.
- What nobody has recorded is concluded only from a list of targets whose read began after the caller came, and only if no version can have come and gone unseen: the copy of the targets reports gaps (a dropped history, a key that was written and removed between two reads, a relay with such a gap), and after one the history counts as complete only once it has been followed for long enough.
- "Does not know" and "did not answer" are different replies; the latter is asked again for at most 600 ms and half of the caller's time.
- A version of which no target is known makes the instance read the targets before it places the request.
- The log line says how the version was found and how long that took.

--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -21,6 +21,7 @@
 use crate::{
     online::{self, Call, Message, Resumption},
     shared::Shared,
+    streams::TakenUpStream,
     tasks::contain,
 };
 
@@ -108,14 +109,22 @@
         return Ok(None);
     }
     let stream = hints.first_attempt.as_ref().map(|it| StreamId::of(service, it));
-    let version = cx.streams.find_version(cx, service, stream, route.timeout).await;
+    let taken_up = TakenUpStream {
+        service,
+        stream,
+        max_age: route.timeout,
+        time_left: time_limit(route, hints),
+    };
+    let search = cx.streams.find_version(cx, &taken_up).await;
+    let origin = search.origin;
     info!(
         cx.log, "stream taken up";
         "request" => &hints.request_id, "first_attempt" => hints.first_attempt.as_deref(),
-        "last_event" => hints.last_event, "version" => version.as_ref().map(|it| it.to_string())
+        "last_event" => hints.last_event, "version" => origin.as_ref().map(|it| it.version.to_string()),
+        "source" => ?origin.as_ref().map(|it| it.source), "waited_ms" => search.waited.as_millis() as u64
     );
-    match version {
-        Some(version) => Ok(Some(version)),
+    match origin {
+        Some(origin) => Ok(Some(origin.version)),
         None => {
             let detail = "it is not known which software version began the stream";
             Err(Problem::new(ProblemKind::Overloaded, Execution::NotRun, detail)
@@ -155,6 +164,11 @@
     passed
 }
 
+/// Returns how long the answer to a request may take.
+fn time_limit(route: &HostRoute, hints: &RequestHints) -> Duration {
+    hints.timeout.map_or(route.timeout, |it| it.min(route.timeout))
+}
+
 fn build_call(
     cx: &Shared,
     route: &HostRoute,
@@ -163,7 +177,7 @@
     hints: RequestHints,
     message: Message,
 ) -> Call {
-    let timeout = hints.timeout.map_or(route.timeout, |it| it.min(route.timeout));
+    let timeout = time_limit(route, &hints);
     let unauthenticated_account = || QualifiedName::new(&service.origin, Kind::Account, "");
     let cost = match hints.tokens {
         Some(it) => it.max_output.saturating_add(it.prompt / PROMPT_TOKENS_PER_OUTPUT_TOKEN),
--- a/crates/borageshed/src/clock.rs
+++ b/crates/borageshed/src/clock.rs
@@ -1,4 +1,5 @@
-//! The process clock. The daemon reads the time through this module; only the rate limit of the log uses `Instant`.
+//! The process clock. The daemon reads the time through this module; only the rate limit of the log and the
+//! confirmations of copied keys use `Instant`.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -154,6 +154,7 @@
             );
             spawn_essential("targets", operator::follow_targets(Arc::clone(&cx)));
             spawn_essential("streams", streams::run(Arc::clone(&cx)));
+            spawn_essential("reads of targets", streams::read_targets(Arc::clone(&cx)));
         }
     }
     match cx.settings.source {
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -133,6 +133,11 @@
             registry::Event::StoreRegained => {
                 info!(cx.log, "key-value service regained"; "of" => "targets");
             }
+            registry::Event::Gap => {
+                info!(cx.log, "targets may have come and gone unseen");
+                cx.streams.record_gap(&cx);
+            }
+            registry::Event::Confirmed(at) => cx.streams.confirm(at),
         }
         true
     })
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -43,6 +43,7 @@
 use stdx::{Name, Timestamp};
 
 pub use links::{PeerInfo, millicores};
+pub use streams::OriginReply;
 
 use self::{
     jobs::JobQuestions, links::Links, pending::PendingQuestions, reads::Reads,
--- a/crates/borageshed/src/peers/reads.rs
+++ b/crates/borageshed/src/peers/reads.rs
@@ -159,6 +159,7 @@
         run: update.position.incarnation,
         changes: update.position.changes,
         revision: update.revision.0,
+        gaps: update.gaps,
         items: update.items.into_iter().map(item_to_wire).collect(),
     }
 }
@@ -168,6 +169,7 @@
     let update = KeysUpdate {
         position: Position { incarnation: answer.run, changes: answer.changes },
         revision: Revision(answer.revision),
+        gaps: answer.gaps,
         items: answer.items.into_iter().map(item_from_wire).collect(),
     };
     match status {
--- a/crates/borageshed/src/peers/streams.rs
+++ b/crates/borageshed/src/peers/streams.rs
@@ -9,6 +9,17 @@
 use super::Peers;
 use crate::directory::ServiceId;
 
+/// What a daemon says about the version that began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OriginReply {
+    /// The stream began at this version.
+    Version(Name),
+    /// The daemon does not know the stream.
+    Unknown,
+    /// The daemon did not answer, which says nothing about the stream.
+    NoAnswer,
+}
+
 /// How long a daemon may take to answer. Answers come from memory.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -20,14 +31,19 @@
         self.send(Some(to), &Message::StreamOrigin(origin));
     }
 
-    /// Asks a daemon which version began a stream. Returns `None` if it does not answer in time or does not know.
-    pub async fn ask_for_origin(&self, of: &Name, stream: StreamId) -> Option<Name> {
+    /// Asks a daemon which version began a stream.
+    pub async fn ask_for_origin(&self, of: &Name, stream: StreamId) -> OriginReply {
         let send = |id| {
             let req = OriginRequest { id, stream: stream.0 };
             self.send(Some(of), &Message::OriginRequest(req))
         };
-        let answer = self.inner.origins.ask(of, ANSWER_TIMEOUT, send).await?;
-        answer.version.map(Name::from)
+        match self.inner.origins.ask(of, ANSWER_TIMEOUT, send).await {
+            Some(OriginAnswer { version: Some(version), .. }) => {
+                OriginReply::Version(Name::from(version))
+            }
+            Some(OriginAnswer { version: None, .. }) => OriginReply::Unknown,
+            None => OriginReply::NoAnswer,
+        }
     }
 
     /// Answers a question about the version that began a stream.
--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -1,18 +1,21 @@
 //! Which software version began a caller's stream, so that the stream goes on only at that version, whichever instance the caller
 //! takes it up at.
 //!
-//! While several versions serve, and shortly after, each instance tells two daemons that run items which version began a stream; these
-//! daemons usually survive the loss of all instances that admit callers. Which versions have served lately is also stored in the
+//! Each instance tells two daemons that run items which version began a stream; these daemons usually survive the loss of all instances
+//! that admit callers, and they answer while the key-value service does not. Which versions have served lately is also stored in the
 //! key-value service: an instance that starts cannot see which version has just left.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use async_std::task;
+use async_channel::{Receiver, Sender};
+use async_std::{future, task};
+use event_listener::Event;
 use fleet::QualifiedName;
+use futures::{StreamExt as _, stream::FuturesUnordered};
 use kv_store::{Entry, Outcome, Revision};
 use peer::StreamOrigin;
 use policy::versions::{
@@ -21,7 +24,7 @@
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
 
-use crate::{clock, directory::ServiceId, shared::Shared};
+use crate::{clock, directory::ServiceId, peers::OriginReply, shared::Shared};
 
 /// The key of the stored history.
 const HISTORY_KEY: &str = "versions";
@@ -29,26 +32,98 @@
 const STORE_INTERVAL: Duration = Duration::from_secs(1);
 /// How much longer than its timeout a caller's request may last, including earlier attempts.
 const AGE_SLACK: Duration = Duration::from_secs(2);
-/// How long an instance that has just started, and may not have links yet, asks for the origin of a stream.
+/// How long the origin of a stream is searched while daemons that may know it do not answer. Links that were cut or stopped are usually
+/// open again by then.
 const MAX_SEARCH: Duration = Duration::from_millis(600);
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// The delay after a read of the targets that failed.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// How long one read of the targets may take, however late its caller comes.
+const MIN_READ_TIME: Duration = Duration::from_millis(100);
 
 /// What this instance knows about versions and streams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Streams {
     state: Mutex<State>,
+    /// Notifies of a new `State::confirmed_at` or `State::failed_at`.
+    read_ended: Event,
+    /// Requests for a read of the targets; one that waits serves all.
+    reads: (Sender<()>, Receiver<()>),
+}
+
+/// A stream that a caller takes up.
+#[derive(Debug)]
+pub struct TakenUpStream<'a> {
+    /// The service that the stream comes from.
+    pub service: &'a QualifiedName,
+    /// The identity of the stream; `None` if the caller does not name it.
+    pub stream: Option<StreamId>,
+    /// The longest time that one attempt of the caller lasts.
+    pub max_age: Duration,
+    /// How long the answer may take.
+    pub time_left: Duration,
+}
+
+/// The result of a search for the version that began a stream.
+#[derive(Debug)]
+pub struct VersionSearch {
+    /// The version, if it was found.
+    pub origin: Option<FoundOrigin>,
+    /// How long the search took.
+    pub waited: Duration,
+}
+
+/// A version that began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FoundOrigin {
+    /// The version.
+    pub version: Name,
+    /// How it is known.
+    pub source: OriginSource,
+}
+
+/// How the version that began a stream is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginSource {
+    /// This instance recorded it, or was told when it was recorded.
+    Own,
+    /// A daemon that keeps it for others answered.
+    Holder,
+    /// No other version has served lately.
+    OnlyVersion,
+}
+
+/// What the daemons that keep the origin of a stream say together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum HolderReplies {
+    Version(Name),
+    /// All have answered, and none knows the stream.
+    Unknown,
+    /// At least one did not answer.
+    Incomplete,
 }
 
 #[derive(Debug, Default)]
 struct State {
     history: VersionHistory,
     origins: StreamOrigins,
+    /// The known targets include all that the store knew at this time.
+    confirmed_at: Option<Instant>,
+    /// When the last read of the targets that failed was begun.
+    failed_at: Option<Instant>,
     /// Whether targets have been listed.
     has_targets: bool,
     /// Whether the stored history has been read, or is being read.
     is_loaded: bool,
 }
 
+impl Default for Streams {
+    fn default() -> Self {
+        Self { state: Mutex::default(), read_ended: Event::new(), reads: async_channel::bounded(1) }
+    }
+}
+
 impl Streams {
     /// Records the versions of the registered targets.
     pub fn observe(&self, cx: &Shared, serving: &BTreeMap<QualifiedName, BTreeSet<Name>>) {
@@ -71,19 +146,18 @@
     /// Records that a target of a version sent the first event of a stream.
     pub fn record(&self, cx: &Shared, service: &QualifiedName, stream: StreamId, version: &Name) {
         let now = cx.clock.now();
-        let mut state = self.lock();
-        state.origins.record(now, stream, service.clone(), version.clone());
-        let is_mixed = state.history.is_mixed(service, now);
-        drop(state);
-        if is_mixed {
-            tell_holders(cx, service, stream, version);
-        }
+        self.lock().origins.record(now, stream, service.clone(), version.clone());
+        // Another instance may know of versions that this one has not heard of yet.
+        tell_holders(cx, service, stream, version);
     }
 
     /// Records the origin of a stream that a peer reports.
     pub fn on_origin(&self, cx: &Shared, origin: StreamOrigin) {
         let table = cx.directory.snapshot();
-        let Some(service) = table.service(ServiceId(origin.service)) else { return };
+        let Some(service) = table.service(ServiceId(origin.service)) else {
+            debug!(cx.log, "origin of a stream of an unknown service ignored"; "version" => origin.version);
+            return;
+        };
         let (stream, version) = (StreamId(origin.stream), Name::from(origin.version));
         self.lock().origins.record(cx.clock.now(), stream, service.clone(), version);
     }
@@ -93,41 +167,110 @@
         self.lock().origins.version(stream).cloned()
     }
 
-    /// Returns the version that began a stream which a caller takes up; `None` if it cannot be found out.
-    pub async fn find_version(
+    /// Finds the version that began a stream which a caller takes up.
+    ///
+    /// What no instance has recorded is concluded only from a list of targets that was read after the caller came, and only if no other
+    /// version can have served lately. What this instance heard earlier proves nothing: it may have been cut off or stopped since.
+    pub async fn find_version(&self, cx: &Shared, taken_up: &TakenUpStream<'_>) -> VersionSearch {
+        let arrived = Instant::now();
+        let limit = MAX_SEARCH.min(taken_up.time_left / 2);
+        let origin = self.find_origin(cx, taken_up, (arrived, limit)).await;
+        let mut search = VersionSearch { origin, waited: Duration::ZERO };
+        if let Some(origin) = &search.origin
+            && !self.lock().history.is_serving(taken_up.service, &origin.version)
+        {
+            // The store may know a target of the version that this instance has not heard of yet.
+            self.confirm_targets(cx, arrived, limit).await;
+        }
+        search.waited = arrived.elapsed();
+        search
+    }
+
+    async fn find_origin(
         &self,
         cx: &Shared,
-        service: &QualifiedName,
-        stream: Option<StreamId>,
-        timeout: Duration,
-    ) -> Option<Name> {
-        let started = cx.clock.now();
+        taken_up: &TakenUpStream<'_>,
+        (arrived, limit): (Instant, Duration),
+    ) -> Option<FoundOrigin> {
+        let TakenUpStream { service, stream, .. } = *taken_up;
+        let max_age = MIXED_WINDOW.max(taken_up.max_age + AGE_SLACK);
         loop {
             if let Some(version) = stream.and_then(|it| self.known_version(it)) {
-                return Some(version);
+                return Some(FoundOrigin { version, source: OriginSource::Own });
             }
-            // An instance that runs for longer has seen what has left, and has its links.
-            let is_new = started.since(Timestamp::ZERO) < MIXED_WINDOW;
+            // An instance that runs for longer has seen what has left.
+            let is_new = cx.clock.now().since(Timestamp::ZERO) < MIXED_WINDOW;
             if is_new && self.begin_loading() {
                 load(cx).await;
             }
-            // Others may know of a version that this instance has not heard of yet, so they are asked first.
-            if let Some(stream) = stream
-                && let Some(version) = ask_holders(cx, stream).await
-            {
-                return Some(version);
+            let replies = match stream {
+                Some(stream) => ask_holders(cx, stream).await,
+                None => HolderReplies::Unknown,
+            };
+            if let HolderReplies::Version(version) = replies {
+                return Some(FoundOrigin { version, source: OriginSource::Holder });
             }
-            let now = cx.clock.now();
-            if let Some(only) = self.only_version(service, now, timeout + AGE_SLACK) {
-                return Some(only);
+            let is_confirmed = self.confirm_targets(cx, arrived, limit).await;
+            if is_confirmed
+                && let Some(version) = self.only_version(service, cx.clock.now(), max_age)
+            {
+                return Some(FoundOrigin { version, source: OriginSource::OnlyVersion });
             }
-            if !is_new || cx.clock.now().since(started) >= MAX_SEARCH {
+            let may_learn_more = is_new || replies == HolderReplies::Incomplete;
+            if !may_learn_more || arrived.elapsed() >= limit {
                 return None;
             }
             task::sleep(SEARCH_INTERVAL).await;
         }
     }
 
+    /// Records that the targets which this instance knows include all that the store knew at this time.
+    pub fn confirm(&self, at: Instant) {
+        let mut state = self.lock();
+        state.confirmed_at = state.confirmed_at.max(Some(at));
+        drop(state);
+        self.read_ended.notify(usize::MAX);
+    }
+
+    fn record_failed_read(&self, began_at: Instant) {
+        self.lock().failed_at = Some(began_at);
+        self.read_ended.notify(usize::MAX);
+    }
+
+    /// Records that targets may have come and gone without this instance having heard of them.
+    pub fn record_gap(&self, cx: &Shared) {
+        self.lock().history.record_gap(cx.clock.now());
+    }
+
+    /// Makes the known targets include all that the store knew at `since`; returns `false` if a read fails or takes too long.
+    async fn confirm_targets(&self, cx: &Shared, since: Instant, limit: Duration) -> bool {
+        let requested_at = Instant::now();
+        let confirmed = async {
+            loop {
+                let read_ended = self.read_ended.listen();
+                let (confirmed_at, failed_at) = {
+                    let state = self.lock();
+                    (state.confirmed_at, state.failed_at)
+                };
+                if confirmed_at >= Some(since) {
+                    return true;
+                }
+                if failed_at >= Some(requested_at) {
+                    return false;
+                }
+                // If a read has been requested already, it begins later than now.
+                let _ = self.reads.0.try_send(());
+                read_ended.await;
+            }
+        };
+        let left = limit.saturating_sub(since.elapsed()).max(MIN_READ_TIME);
+        let is_confirmed = future::timeout(left, confirmed).await.unwrap_or(false);
+        if !is_confirmed {
+            debug!(cx.log, "targets not confirmed"; "waited_ms" => since.elapsed().as_millis() as u64);
+        }
+        is_confirmed
+    }
+
     /// Returns whether the caller is to read the stored history; nobody else does so at the same time.
     fn begin_loading(&self) -> bool {
         let mut state = self.lock();
@@ -228,13 +371,37 @@
     }
 }
 
-/// Asks the daemons that keep the origin of a stream, the second one only if the first does not know it.
-async fn ask_holders(cx: &Shared, stream: StreamId) -> Option<Name> {
-    let peers = cx.peers.get()?;
-    for holder in holders(&cx.item_runners(), stream) {
-        if let Some(version) = peers.ask_for_origin(&holder, stream).await {
-            return Some(version);
+/// Asks the daemons that keep the origin of a stream.
+async fn ask_holders(cx: &Shared, stream: StreamId) -> HolderReplies {
+    let Some(peers) = cx.peers.get() else { return HolderReplies::Incomplete };
+    let mut holders = holders(&cx.item_runners(), stream);
+    let mut has_all = !holders.is_empty();
+    // The records of this instance have been searched.
+    holders.retain(|it| *it != cx.settings.instance);
+    let mut asked: FuturesUnordered<_> =
+        holders.iter().map(|it| peers.ask_for_origin(it, stream)).collect();
+    while let Some(reply) = asked.next().await {
+        match reply {
+            OriginReply::Version(version) => return HolderReplies::Version(version),
+            OriginReply::Unknown => {}
+            OriginReply::NoAnswer => has_all = false,
+        }
+    }
+    match has_all {
+        true => HolderReplies::Unknown,
+        false => HolderReplies::Incomplete,
+    }
+}
+
+/// Reads the registered targets whenever a caller's stream needs it, one read at a time, until the daemon stops.
+pub async fn read_targets(cx: Arc<Shared>) {
+    let requests = cx.streams.reads.1.clone();
+    while requests.recv().await.is_ok() {
+        let began_at = Instant::now();
+        if let Err(e) = cx.platform_store().catch_up_with_targets().await {
+            debug!(cx.log, "targets not read"; "error" => %e);
+            cx.streams.record_failed_read(began_at);
+            task::sleep(READ_RETRY_DELAY).await;
         }
     }
-    None
 }
--- a/crates/borageshed/tests/versions.rs
+++ b/crates/borageshed/tests/versions.rs
@@ -183,3 +183,107 @@
     assert_eq!(text.lines().count(), 5, "{text}");
     Ok(())
 }
+
+/// How long an instance runs before it no longer counts as new and stops waiting for what others know.
+const SETTLE_TIME: Duration = Duration::from_secs(35);
+
+/// Begins streams through an entry daemon until a target has begun `count` of them; returns their ids.
+async fn begin_streams(
+    entry: std::net::SocketAddr,
+    target: &Target,
+    count: usize,
+) -> io::Result<Vec<String>> {
+    let mut begun = Vec::new();
+    for n in 0..200 {
+        let id = format!("begun-{n}");
+        let request = call(STREAMS, &id).header("host", HOST);
+        // The answer may break off.
+        let _ = request.send(entry).await;
+        if target.requests().iter().any(|it| it.header("x-request-id") == Some(&id)) {
+            begun.push(id);
+        }
+        if begun.len() == count {
+            return Ok(begun);
+        }
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    Err(io::Error::other(format!("{} of {count} streams have begun", begun.len())))
+}
+
+/// Returns how many of the take-ups with these ids a target was asked to continue.
+fn taken_up_at(target: &Target, ids: &[String]) -> usize {
+    let requests = target.requests();
+    let has_id = |id: &String| requests.iter().any(|it| it.header("x-request-id") == Some(id));
+    ids.iter().filter(|it| has_id(it)).count()
+}
+
+// Guards against a stream that goes on at the only version that an instance knows while it is cut off from the store and from the
+// daemon that knows the stream.
+#[async_std::test]
+async fn a_stream_that_began_at_a_version_unknown_to_a_cut_off_instance_is_not_joined_there()
+-> io::Result<()> {
+    let old = Target::start(Behaviour::BreakAfter(3)).await?;
+    let new = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = Site::start(&[]).await?;
+    operator::register_version(&site.platform, "t-1", old.address(), "v1");
+    let (_second, second) = site.start_entry("second", 8_400).await?;
+    wait_until_used(site.callers(), &old).await?;
+    task::sleep(SETTLE_TIME).await;
+    site.entry_link.silence();
+    site.entry_link.silence_new(true);
+    site.worker.pause();
+    operator::register_version(&site.platform, "t-2", new.address(), "v2");
+    let begun = begin_streams(second, &new, 4).await?;
+    let mut ids = Vec::new();
+    for first in &begun {
+        let id = format!("cut-{first}");
+        take_up(site.callers(), &id, first).await;
+        ids.push(id);
+    }
+    assert_eq!(taken_up_at(&old, &ids), 0, "the old version was asked to go on");
+    site.entry_link.cut();
+    site.entry_link.silence_new(false);
+    site.worker.resume();
+    let goes_on = async || {
+        take_up(site.callers(), "healed", &begun[0]).await;
+        taken_up_at(&new, &["healed".to_owned()]) == 1
+    };
+    wait_until("the stream goes on at its version", goes_on).await?;
+    assert_eq!(taken_up_at(&old, &["healed".to_owned()]), 0, "the old version was asked to go on");
+    Ok(())
+}
+
+// Guards against streams that are joined or refused by an instance that was stopped while their version appeared.
+#[async_std::test]
+async fn streams_that_began_while_an_instance_was_stopped_go_on_there_at_their_version()
+-> io::Result<()> {
+    const COUNT: usize = 8;
+    let old = Target::start(Behaviour::BreakAfter(3)).await?;
+    let new = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = Site::start(&[]).await?;
+    operator::register_version(&site.platform, "t-1", old.address(), "v1");
+    let (_second, second) = site.start_entry("second", 8_400).await?;
+    wait_until_used(site.callers(), &old).await?;
+    task::sleep(SETTLE_TIME).await;
+    site.entry.pause();
+    operator::register_version(&site.platform, "t-2", new.address(), "v2");
+    let begun = begin_streams(second, &new, COUNT).await?;
+    let ids: Vec<String> = begun.iter().map(|it| format!("stopped-{it}")).collect();
+    let callers = site.callers();
+    let tries: Vec<_> = ids
+        .iter()
+        .cloned()
+        .zip(begun)
+        .map(|(id, first)| task::spawn(async move { take_up(callers, &id, &first).await.status }))
+        .collect();
+    task::sleep(Duration::from_secs(3)).await;
+    site.entry.resume();
+    let mut statuses = Vec::new();
+    for it in tries {
+        statuses.push(it.await);
+    }
+    assert_eq!(taken_up_at(&old, &ids), 0, "the old version was asked to go on: {statuses:?}");
+    let went_on = taken_up_at(&new, &ids);
+    assert!(went_on >= COUNT / 2, "{went_on} of {COUNT} went on: {statuses:?}");
+    Ok(())
+}
--- a/crates/peer/src/message/reads.rs
+++ b/crates/peer/src/message/reads.rs
@@ -57,6 +57,9 @@
     /// The number of changes of the relay's copy.
     #[prost(uint64, tag = "6")]
     pub changes: u64,
+    /// How often the relay's copy may have missed changes.
+    #[prost(uint64, tag = "7")]
+    pub gaps: u64,
     /// The keys.
     #[prost(message, repeated, tag = "4")]
     pub items: Vec<StoredItem>,
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct VersionHistory {
     services: BTreeMap<QualifiedName, ServiceVersions>,
+    /// Whether versions may have come and gone since the first observation without having been observed.
+    has_gap: bool,
 }
 
 #[derive(Debug)]
@@ -116,10 +118,26 @@
             for version in stored.current.difference(&known.current).cloned().collect::<Vec<_>>() {
                 known.left.insert(version, Departure::at(now));
             }
-            known.complete_from = None;
+            // A stored history fills the time before this process started, but it may lack what this process has missed.
+            if !self.has_gap {
+                known.complete_from = None;
+            }
+        }
+    }
+
+    /// Records that versions may have come and gone before `now` without having been observed.
+    pub fn record_gap(&mut self, now: Timestamp) {
+        self.has_gap = true;
+        for known in self.services.values_mut() {
+            known.complete_from = Some(now);
         }
     }
 
+    /// Returns whether a target of the version serves, as of the last observation.
+    pub fn is_serving(&self, service: &QualifiedName, version: &Name) -> bool {
+        self.services.get(service).is_some_and(|it| it.current.contains(version))
+    }
+
     /// Returns the history in its stored form, as of `now`, which is `unix_ms` in Unix time.
     pub fn to_stored(&self, now: Timestamp, unix_ms: u64) -> StoredHistory {
         let services = self.services.iter().map(|(service, known)| {
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -67,6 +67,19 @@
     assert_eq!(restarted(1_060_000, &["v2", "v3"]), None);
 }
 
+// Guards against a guess from a history that an instance has not followed all the time, also if a stored history fills its beginning.
+#[test]
+fn a_version_is_not_the_only_one_while_another_may_have_come_and_gone_unseen() {
+    let mut history = VersionHistory::default();
+    history.observe(at(1), &serving(&["v1"]));
+    assert_eq!(only(&history, 60), Some("v1"));
+    history.record_gap(at(60));
+    assert_eq!(only(&history, 66), None, "another version may have served during the gap");
+    history.merge(at(66), 1_000_000, &StoredHistory::default());
+    assert_eq!(only(&history, 66), None, "the stored history may lack what was missed");
+    assert_eq!(only(&history, 67), Some("v1"));
+}
+
 // Guards against memory that grows with the attempt ids that callers make up, and against a take-up that changes the origin.
 #[test]
 fn the_first_record_of_a_stream_counts_and_old_ones_are_forgotten() {
