Count the search for a stream's version as part of the caller's time

The deadline of a request that takes up a stream began after the search for its version, so a target was told up to 600 ms more than the caller had left. Found by reading; the deadline is now set before the search.

--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -87,7 +87,9 @@
         headers: forwarded_headers(&req, &host),
         body,
     };
+    let deadline = cx.clock.now() + time_limit(&route, &hints);
     let version = version_to_continue(&cx, &route, &service, &hints).await?;
+    let hints = RequestHints { timeout: Some(deadline.since(cx.clock.now())), ..hints };
     let call = build_call(&cx, &route, (service, version), identity.as_ref(), hints, message);
     let request_id = call.request_id.clone();
     into_answer(online::run(&cx, call, &caller).await, &request_id)
