Refuse a take-up soon at an instance without a link to the holders of origins

An instance that has no link to the daemons that keep origins waited as long for them as for daemons that are late, although no answer can come. It now tells "no path" from "no answer", and waits only as long as links take to be dialled again after a stop of the process.

--- a/crates/borageshed/src/peers/streams.rs
+++ b/crates/borageshed/src/peers/streams.rs
@@ -18,6 +18,8 @@
     Unknown,
     /// The daemon did not answer, which says nothing about the stream.
     NoAnswer,
+    /// There is no path to the daemon.
+    Unreachable,
 }
 
 /// How long a daemon may take to answer. Answers come from memory.
@@ -33,16 +35,19 @@
 
     /// Asks a daemon which version began a stream.
     pub async fn ask_for_origin(&self, of: &Name, stream: StreamId) -> OriginReply {
+        let mut is_sent = false;
         let send = |id| {
             let req = OriginRequest { id, stream: stream.0 };
-            self.send(Some(of), &Message::OriginRequest(req))
+            is_sent = self.send(Some(of), &Message::OriginRequest(req));
+            is_sent
         };
         match self.inner.origins.ask(of, ANSWER_TIMEOUT, send).await {
             Some(OriginAnswer { version: Some(version), .. }) => {
                 OriginReply::Version(Name::from(version))
             }
             Some(OriginAnswer { version: None, .. }) => OriginReply::Unknown,
-            None => OriginReply::NoAnswer,
+            None if is_sent => OriginReply::NoAnswer,
+            None => OriginReply::Unreachable,
         }
     }
 
--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -36,6 +36,9 @@
 /// open again by then.
 const MAX_SEARCH: Duration = Duration::from_millis(600);
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// How long an instance without a link to a daemon that may know a stream waits for one. After a stop of the process, links are dialled
+/// again within this time; after that the instance is cut off, and the caller had better try another one.
+const RECONNECT_TIME: Duration = Duration::from_millis(300);
 /// The delay after a read of the targets that failed.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -102,6 +105,8 @@
     Unknown,
     /// At least one did not answer.
     Incomplete,
+    /// There is no path to any of them.
+    Unreachable,
 }
 
 #[derive(Debug, Default)]
@@ -210,14 +215,21 @@
             if let HolderReplies::Version(version) = replies {
                 return Some(FoundOrigin { version, source: OriginSource::Holder });
             }
-            let is_confirmed = self.confirm_targets(cx, arrived, limit).await;
-            if is_confirmed
+            let is_cut_off =
+                replies == HolderReplies::Unreachable && !cx.platform_store().reaches_service();
+            if !is_cut_off
+                && self.confirm_targets(cx, arrived, limit).await
                 && let Some(version) = self.only_version(service, cx.clock.now(), max_age)
             {
                 return Some(FoundOrigin { version, source: OriginSource::OnlyVersion });
             }
-            let may_learn_more = is_new || replies == HolderReplies::Incomplete;
-            if !may_learn_more || arrived.elapsed() >= limit {
+            let max_wait = match replies {
+                HolderReplies::Incomplete => limit,
+                _ if is_new => limit,
+                HolderReplies::Unreachable => limit.min(RECONNECT_TIME),
+                HolderReplies::Version(_) | HolderReplies::Unknown => Duration::ZERO,
+            };
+            if arrived.elapsed() >= max_wait {
                 return None;
             }
             task::sleep(SEARCH_INTERVAL).await;
@@ -373,23 +385,25 @@
 
 /// Asks the daemons that keep the origin of a stream.
 async fn ask_holders(cx: &Shared, stream: StreamId) -> HolderReplies {
-    let Some(peers) = cx.peers.get() else { return HolderReplies::Incomplete };
+    let Some(peers) = cx.peers.get() else { return HolderReplies::Unreachable };
     let mut holders = holders(&cx.item_runners(), stream);
-    let mut has_all = !holders.is_empty();
     // The records of this instance have been searched.
     holders.retain(|it| *it != cx.settings.instance);
     let mut asked: FuturesUnordered<_> =
         holders.iter().map(|it| peers.ask_for_origin(it, stream)).collect();
+    let (mut unanswered, mut unreachable) = (0, 0);
     while let Some(reply) = asked.next().await {
         match reply {
             OriginReply::Version(version) => return HolderReplies::Version(version),
             OriginReply::Unknown => {}
-            OriginReply::NoAnswer => has_all = false,
+            OriginReply::NoAnswer => unanswered += 1,
+            OriginReply::Unreachable => unreachable += 1,
         }
     }
-    match has_all {
-        true => HolderReplies::Unknown,
-        false => HolderReplies::Incomplete,
+    match unanswered + unreachable {
+        _ if unreachable == holders.len() => HolderReplies::Unreachable,
+        0 => HolderReplies::Unknown,
+        _ => HolderReplies::Incomplete,
     }
 }
 
