Stop the process when the accept loop of a server panics

The loop ran in a plain task: after a panic the daemon stayed up and ready, but nobody was served, and its drain waited to the deadline for the end of a loop that was gone. Found by reading; callers have not been seen to meet it. Class: the end of a task that nobody hears of.

The loop is now an essential task, so the daemon drains, stops and is started again. The signal that accepting has ended is set when the loop's scope ends, after the listener is closed, also by a panic. Both ways to start a server share one path.

--- a/crates/http-edge/src/server/mod.rs
+++ b/crates/http-edge/src/server/mod.rs
@@ -16,6 +16,7 @@
 use async_std::task;
 use futures::future::{Either, select};
 use futures::stream::{Stream, StreamExt};
+use stdx::panics;
 
 use crate::signal::Signal;
 
@@ -178,20 +179,21 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let local_addr = listener.local_addr()?;
-        let shared = new_shared(limits.into(), app);
-        let cx = Arc::clone(&shared);
-        task::spawn(async move { accept_loop(&cx, listener.incoming()).await });
-        Ok(Self { shared, local_addr: Some(local_addr) })
+        let server = Self::serve(Box::pin(listener.into_incoming()), limits, app);
+        Ok(Self { local_addr: Some(local_addr), ..server })
     }
 
     /// Serves the connections of a stream, such as a wrapped or simulated listener.
-    pub fn serve<I>(incoming: I, limits: ServerLimits, app: tide::Server<S>) -> Self
+    ///
+    /// The accept loop is an essential task of the process, see [`panics::essential`]: if it panics, no connection is accepted.
+    pub fn serve<I>(incoming: I, limits: impl Into<SharedLimits>, app: tide::Server<S>) -> Self
     where
         I: Stream<Item = io::Result<TcpStream>> + Send + Unpin + 'static,
     {
         let shared = new_shared(limits.into(), app);
         let cx = Arc::clone(&shared);
-        task::spawn(async move { accept_loop(&cx, incoming).await });
+        let accept = async move { accept_loop(&cx, incoming).await };
+        task::spawn(panics::essential("accept loop", accept));
         Self { shared, local_addr: None }
     }
 
@@ -265,11 +267,14 @@
     })
 }
 
-async fn accept_loop<S, I>(cx: &Arc<Shared<S>>, mut incoming: I)
+async fn accept_loop<S, I>(cx: &Arc<Shared<S>>, incoming: I)
 where
     S: Clone + Send + Sync + 'static,
     I: Stream<Item = io::Result<TcpStream>> + Send + Unpin,
 {
+    let _ended = SetOnDrop(&cx.accept_ended);
+    // Dropped before the signal is set; the drop closes the listener, which refuses further connections.
+    let mut incoming = incoming;
     let draining = cx.draining.clone();
     let mut stop = Box::pin(draining.wait());
     loop {
@@ -284,9 +289,15 @@
             }
         }
     }
-    // Drops the listener, which refuses further connections.
-    drop(incoming);
-    cx.accept_ended.set();
+}
+
+/// Sets a signal when its scope ends, also by a panic, so that a drain does not wait for a loop that is gone.
+struct SetOnDrop<'a>(&'a Signal);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.set();
+    }
 }
 
 /// Returns whether an accept error affects one connection only, so that the next one can be accepted immediately.
--- a/crates/http-edge/tests/server.rs
+++ b/crates/http-edge/tests/server.rs
@@ -11,7 +11,8 @@
 use async_std::task;
 use expect_test::{Expect, expect};
 use futures::StreamExt;
-use http_edge::server::{Server, ServerLimits};
+use http_edge::server::{DrainOutcome, Server, ServerLimits};
+use stdx::panics;
 
 use util::{
     LOCAL, Seen, app, read_rest, read_until, send_and_read_all, start, until, with_timeout,
@@ -353,3 +354,19 @@
             .await;
     assert!(half_a_body.starts_with("HTTP/1.1 408 "), "{half_a_body}");
 }
+
+/// Guards against a server whose accept loop panicked, so that it takes no connections, and a process that goes on without noticing.
+#[async_std::test]
+async fn a_panic_of_the_accept_loop_reaches_the_handler_and_ends_accepting() {
+    let (tx, rx) = async_channel::unbounded();
+    panics::on_essential_panic(move |name, panic| {
+        tx.try_send((name, panic.message.clone())).expect("an open channel");
+    });
+    let incoming = futures::stream::poll_fn(|_| panic!("probe"));
+    let server = Server::serve(Box::pin(incoming), limits(), app(&Seen::default()));
+    let reported = async_std::future::timeout(Duration::from_secs(2), rx.recv()).await;
+    assert_eq!(reported.expect("a report"), Ok(("accept loop", "probe".to_owned())));
+    let drained =
+        async_std::future::timeout(Duration::from_secs(2), server.drain(Duration::from_secs(60)));
+    assert_eq!(drained.await, Ok(DrainOutcome { closed_at_deadline: 0 }));
+}
