End a file's content with an error if the task that sends it panics

The content of a file is sent by a task of its own. A panic there closed the channel to the body, which is how a complete body ends: the caller would have stored a cut file as a whole one. Found by reading; callers have not been seen to meet it. Class: 'no answer' that is read as 'there is none'.

The task runs contained, and a panic puts an error after the last piece, so that the answer lacks its last chunk, as after an error of the store. The part that sends pieces moves to answer.rs, where the test reaches it.

--- a/crates/borageshed/src/api/files.rs
+++ b/crates/borageshed/src/api/files.rs
@@ -14,15 +14,19 @@
     ResultStep, SplitFile, input,
 };
 use bytes::Bytes;
-use futures::TryStreamExt as _;
 use http_edge::problem::{Execution, Problem, ProblemKind};
-use http_types::{Body, Response};
+use http_types::Response;
 use multer::Multipart;
 use serde_json::{Value, json};
 use stdx::{Name, wire_type};
 
 use super::{Request, Result, admit, read_body, store_problem, store_timeout};
-use crate::{answer::set_body, batch_work::executor, clock, shared::Shared};
+use crate::{
+    answer::{set_body, streamed_body},
+    batch_work::executor,
+    clock,
+    shared::Shared,
+};
 
 /// The maximum number of files or jobs in one page of a list.
 const MAX_PAGE_SIZE: u32 = 100;
@@ -165,21 +169,7 @@
             let next = source.next_piece(&cx, CONTENT_STORE_TIMEOUT).await?;
             Ok(Some((piece.into_bytes(), (cx, source, next))))
         });
-    // The stream ends at the first error. The body then lacks its last chunk, so the caller can tell that it is
-    // incomplete.
-    let (tx, rx) = async_channel::bounded(1);
-    task::spawn(async move {
-        let mut pieces = Box::pin(pieces);
-        loop {
-            let piece = pieces.try_next().await.transpose();
-            let Some(piece) = piece else { return };
-            let is_error = piece.is_err();
-            if tx.send(piece).await.is_err() || is_error {
-                return;
-            }
-        }
-    });
-    set_body(&mut res, Body::from_reader(Box::pin(rx).into_async_read(), None));
+    set_body(&mut res, streamed_body(&req.state().log, pieces));
     Ok(res)
 }
 
--- a/crates/borageshed/tests/panics.rs
+++ b/crates/borageshed/tests/panics.rs
@@ -1,10 +1,17 @@
 //! Tests that the end of a task by a panic reaches its owner.
 
-use std::future::{self, Future};
+use std::{
+    future::{self, Future},
+    io,
+};
 
-use async_std::task;
-use borageshed::tasks::{EndNotice, contain};
+use async_std::{io::ReadExt as _, task};
+use borageshed::{
+    answer::streamed_body,
+    tasks::{EndNotice, contain},
+};
 use futures::future::abortable;
+use futures::{StreamExt as _, stream};
 use slog::{Discard, Logger, o};
 use stdx::panics::{self, Panic};
 
@@ -69,3 +76,21 @@
     assert_eq!(rx.recv().await, Ok(("task", panic("probe 1"))));
     assert_eq!(rx.recv().await, Ok(("thread", panic("probe"))));
 }
+
+// Guards against the content of a file that looks complete because the task that sends it panicked.
+#[async_std::test]
+async fn a_body_whose_pieces_panic_ends_with_an_error() {
+    let log = Logger::root(Discard, o!());
+    let piece = |n: usize| {
+        assert!(n < 2, "probe");
+        io::Result::Ok(format!("line {n}\n").into_bytes())
+    };
+    let pieces = |count: usize| stream::iter(0..count).map(piece);
+    let mut read = String::new();
+    let complete = streamed_body(&log, pieces(2)).read_to_string(&mut read).await;
+    assert!(complete.is_ok_and(|n| n == read.len()), "{read}");
+    let mut cut = Vec::new();
+    let broken = streamed_body(&log, pieces(3)).read_to_end(&mut cut).await;
+    assert_eq!(cut, read.as_bytes());
+    assert!(broken.is_err(), "the body looks complete: {broken:?}");
+}
