Ask the drain's schedule before a broken stream is sent on

A stream that broke while its entry daemon drained was sent on to another target although the rest could outlast the drain, which then closed the caller's connection: the caller heard of the break only at the end of the grace, and the target ran the rest for nobody. A new request in the same place is refused at once. Found by reading.

The wait for the control thread's choice ends when the drain leaves too little time for the call. The answer then ends as broken, and the caller takes the stream up at another instance. Nothing is reported against a target: dropping the admission withdraws the request.

--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -205,6 +205,11 @@
                             let _ = tx.send(Err(e)).await;
                             return;
                         }
+                        ResumeOutcome::Withdrawn => {
+                            // The caller may have gone.
+                            let _ = tx.send(Err(e)).await;
+                            return;
+                        }
                     }
                 }
                 EventRead::Stopped => {
@@ -252,10 +257,14 @@
         );
         self.admission.failed_after_send(cause);
         loop {
-            let gone = Box::pin(self.caller.closed());
-            let directive = match select(Box::pin(self.admission.next()), gone).await {
-                Either::Left((Some(directive), _)) => directive,
-                Either::Left((None, _)) | Either::Right(_) => return ResumeOutcome::Failed,
+            let too_late = Box::pin(self.cx.drain.too_late(&self.cx.clock, &self.call));
+            let late_or_gone = select(too_late, Box::pin(self.caller.closed()));
+            let directive = match select(late_or_gone, Box::pin(self.admission.next())).await {
+                Either::Left((Either::Left(_), _)) => return ResumeOutcome::Withdrawn,
+                Either::Right((Some(directive), _)) => directive,
+                Either::Left((Either::Right(_), _)) | Either::Right((None, _)) => {
+                    return ResumeOutcome::Failed;
+                }
             };
             match directive {
                 Directive::Dispatch { target, version, .. } => {
@@ -452,6 +461,8 @@
     Failed,
     /// The control thread refused the request.
     Refused,
+    /// A drain leaves too little time; the control thread learns of it when the admission is dropped.
+    Withdrawn,
 }
 
 /// What became of a piece for the caller.
--- a/crates/borageshed/tests/drain.rs
+++ b/crates/borageshed/tests/drain.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use test_support::{
     http::Reply,
+    link::Relay as Link,
     operator::{self, DRAFTS, HOST, LOOKUPS, STREAMS},
     processes::Process,
     target::Target,
@@ -107,3 +108,31 @@
     assert!(entry.wait(LIMIT).expect("the daemon ends").success());
     Ok(())
 }
+
+// Guards against a stream that breaks late in a drain and is sent on to a target, so that its caller hears of it only at the end.
+#[async_std::test]
+async fn a_stream_that_breaks_and_may_outlast_the_drain_ends_at_once() -> io::Result<()> {
+    let site = Site::start(&[]).await?;
+    let targets = [Target::start(stream(40, 100)).await?, Target::start(stream(40, 100)).await?];
+    let links =
+        [Link::start(targets[0].address()).await?, Link::start(targets[1].address()).await?];
+    for (id, link) in ["t-1", "t-2"].iter().zip(&links) {
+        operator::register(&site.platform, id, link.address());
+    }
+    let (entry, callers) = start_entry(&site).await?;
+    let asked = || targets.iter().map(|it| it.requests().len()).sum::<usize>();
+    let running = async { (send(callers, STREAMS, "r-1").await, Instant::now()) };
+    let stop = async {
+        wait_until("the stream has begun", async || asked() == 1).await?;
+        entry.terminate();
+        task::sleep(Duration::from_millis(1_000)).await;
+        links.iter().for_each(Link::cut);
+        io::Result::Ok(Instant::now())
+    };
+    let ((reply, ended_at), broken_at) = futures::join!(running, stop);
+    assert_eq!(asked(), 1, "the stream is not sent on");
+    assert!(reply.map_or(0, |it| it.event_data().len()) < 40, "the stream is incomplete");
+    let waited = ended_at.saturating_duration_since(broken_at?);
+    assert!(waited < AT_ONCE, "{waited:?}");
+    Ok(())
+}
