Split the poison table into attempts and verdicts

The attempts of a fingerprint move to poison/history.rs and the verdicts to poison/verdicts.rs. The treatment of an inconclusive crash becomes a method of History, which shortens decide_verdicts; nothing else changes.

--- a/crates/policy/src/dispatch/poison.rs
+++ b/crates/policy/src/dispatch/poison.rs
@@ -7,6 +7,12 @@
 //! separate name for each incarnation, so for them the target list decides: the death of a listed target is no evidence
 //! until the list drops the target. Once the target answers an attempt that started after the death, or returns to the
 //! list, the death is discarded and the verdicts that rest on it are lifted.
+//!
+//! - `history`: the attempts of requests with one fingerprint.
+//! - `verdicts`: the verdicts on fingerprints.
+
+mod history;
+mod verdicts;
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -18,6 +24,7 @@
     request::{Fingerprint, Suspicion},
     settings::Settings,
 };
+use history::{History, Incarnation, PendingVerdict, VERDICT_TIMEOUT};
 
 /// The most targets that a request may run on until a request with its fingerprint completes; also the number of deaths
 /// that a verdict requires.
@@ -53,57 +60,9 @@
     died_at: Timestamp,
 }
 
-/// A death that completes the evidence for a verdict, unless another suspect was on the target.
-#[derive(Debug)]
-struct PendingVerdict {
-    service: QualifiedName,
-    target: Name,
-    /// When the attempt started, if this instance made it and so decides on the verdict. Deaths reported on the target
-    /// before that belong to an earlier crash.
-    attempt_started: Option<Timestamp>,
-    died_at: Timestamp,
-    due_at: Timestamp,
-    /// Whether another suspect is known to have been on the target.
-    had_other_suspect: bool,
-}
-
 /// Deaths reported on one target within this time belong to one crash. It is shorter than the first hold-down, so that
 /// crashes of two successive incarnations of the target are told apart.
 const SAME_CRASH_WINDOW: Duration = Duration::from_millis(250);
-/// How long to wait for the verdict of the peer that saw the second death. Without a verdict the death is not counted:
-/// either the peer found another suspect on the target, or the peer is lost. In the second case the request can crash one
-/// more target.
-const VERDICT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long, after the wait for reports of peers, the target list has to confirm a death. The list drops a target after
-/// three missed heartbeats of 1.2 s; the rest allows for the delivery of the list.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// The attempts of requests with one fingerprint.
-#[derive(Debug, Default)]
-struct History {
-    incarnations: Vec<Incarnation>,
-    /// Whether a request with the fingerprint completed since this entry was created, and no target died after that.
-    proven_safe: bool,
-    expires: Timestamp,
-    pending: Option<PendingVerdict>,
-}
-
-/// The attempts on one incarnation of a target.
-#[derive(Debug)]
-struct Incarnation {
-    target: Name,
-    in_flight: u32,
-    died: bool,
-    died_at: Timestamp,
-    /// Whether the target list still names the target that died, so that it may be alive.
-    unconfirmed: bool,
-    /// Whether the target was leaving when it died. A shutdown that took too long, and not the request, may have ended it.
-    was_leaving: bool,
-    /// Whether another suspect was in flight on the target when it died, so that the end of the attempts that are still in
-    /// flight is no evidence.
-    inconclusive: bool,
-}
-
 /// How an attempt ended, as evidence for or against its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum AttemptEnd {
@@ -296,90 +255,6 @@
         }
     }
 
-    /// Discards the deaths of a registered target before `alive_at`, a time at which it was alive, and removes the verdicts
-    /// that rest on them.
-    ///
-    /// Returns the fingerprints of the removed verdicts that this instance had reached.
-    pub fn refute_death(&mut self, target: &Name, alive_at: Timestamp) -> Vec<Fingerprint> {
-        for history in self.histories.values_mut() {
-            history.discard_deaths(|it| it.target == *target && it.died_at < alive_at);
-        }
-        self.histories.retain(|_, it| !it.incarnations.is_empty() || it.pending.is_some());
-        let is_refuted =
-            |it: &Verdict| it.evidence.iter().any(|(name, at)| name == target && *at < alive_at);
-        let refuted: Vec<_> = self.verdicts.extract_if(.., |_, it| is_refuted(it)).collect();
-        self.prune_evidence_targets();
-        refuted.into_iter().filter(|(_, it)| it.is_own).map(|(it, _)| it).collect()
-    }
-
-    /// Decides the pending verdicts that are due; returns the fingerprints found to be poison.
-    pub fn decide_verdicts(&mut self, settings: &Settings, now: Timestamp) -> Vec<Fingerprint> {
-        let is_due = |it: &History| it.pending.as_ref().is_some_and(|it| it.due_at <= now);
-        let due = self.histories.iter().filter(|(_, it)| is_due(it)).map(|(it, _)| *it);
-        let (unconfirmed, due): (Vec<_>, Vec<_>) = due.partition(|it| self.awaits_confirmation(it));
-        let (inconclusive, poison): (Vec<_>, Vec<_>) =
-            due.into_iter().partition(|it| self.had_other_suspect(it));
-        for fingerprint in unconfirmed {
-            let history = &mut self.histories[&fingerprint];
-            if history.pending.as_ref().is_some_and(|it| history.verdict_deadline(it) <= now) {
-                history.discard_deaths(|it| it.unconfirmed);
-            }
-        }
-        for fingerprint in inconclusive {
-            let history = &mut self.histories[&fingerprint];
-            let Some(pending) = history.pending.take() else { continue };
-            // The other suspect may have caused the crash. Evidence requires an attempt without other suspects on the target.
-            let last =
-                history.incarnations.iter().rposition(|it| it.died && it.target == pending.target);
-            let Some(last) = last else { continue };
-            history.incarnations[last].died = false;
-            history.incarnations[last].inconclusive = true;
-            history.incarnations.retain(|it| it.died || it.in_flight > 0);
-        }
-        for fingerprint in &poison {
-            let conclusive = self.histories.get(fingerprint).map_or(0, History::conclusive_deaths);
-            assert!(
-                conclusive >= MAX_TARGETS,
-                "a verdict requires {MAX_TARGETS} conclusive deaths"
-            );
-            self.add_verdict(settings, now, *fingerprint);
-            if let Some(verdict) = self.verdicts.get_mut(fingerprint) {
-                verdict.is_own = true;
-            }
-            self.histories.swap_remove(fingerprint);
-        }
-        poison
-    }
-
-    /// Returns whether the pending verdict waits for the target list: a death is not confirmed yet, and either a peer
-    /// decides or this instance knows of no other suspect on the target.
-    fn awaits_confirmation(&self, fingerprint: &Fingerprint) -> bool {
-        let Some(history) = self.histories.get(fingerprint) else { return false };
-        let is_decided_by_peer =
-            history.pending.as_ref().is_some_and(|it| it.attempt_started.is_none());
-        history.has_unconfirmed_death()
-            && (is_decided_by_peer || !self.had_other_suspect(fingerprint))
-    }
-
-    /// Returns whether another suspect was on the target of the pending verdict. This is assumed if a peer decides on the
-    /// verdict, because the peer sends none in that case.
-    fn had_other_suspect(&self, fingerprint: &Fingerprint) -> bool {
-        let pending = self.histories.get(fingerprint).and_then(|it| it.pending.as_ref());
-        let Some(pending) = pending else { return false };
-        let same_crash = |it: &&Death| {
-            it.fingerprint != *fingerprint
-                && it.service == pending.service
-                && it.target == pending.target
-                && pending.attempt_started.is_none_or(|started| it.died_at >= started)
-                && it.died_at.since(pending.died_at).max(pending.died_at.since(it.died_at))
-                    < SAME_CRASH_WINDOW
-        };
-        let mut same_crash = self.deaths.iter().filter(same_crash);
-        pending.had_other_suspect
-            || pending.attempt_started.is_none()
-            || same_crash.any(|it| self.has_death_elsewhere(&it.fingerprint, &pending.target))
-    }
-
     /// Records the end of an attempt.
     pub fn end_attempt(
         &mut self,
@@ -436,34 +311,6 @@
         }
     }
 
-    /// Adds a verdict; returns whether it is new.
-    pub fn add_verdict(
-        &mut self,
-        settings: &Settings,
-        now: Timestamp,
-        fingerprint: Fingerprint,
-    ) -> bool {
-        let is_new = self.verdict(&fingerprint, now).is_none();
-        if self.verdicts.len() >= settings.max_verdicts && is_new {
-            self.verdicts.shift_remove_index(0);
-        }
-        let died = self.histories.get(&fingerprint).into_iter().flat_map(|it| &it.incarnations);
-        let evidence = died.filter(|it| it.died && self.evidence_targets.contains(&it.target));
-        let verdict = Verdict {
-            expires: now + settings.verdict_expiry,
-            evidence: evidence.map(|it| (it.target.clone(), it.died_at)).collect(),
-            is_own: false,
-        };
-        match self.verdicts.get_mut(&fingerprint) {
-            // A repeated message carries no new evidence.
-            Some(known) if !is_new => known.expires = verdict.expires,
-            _ => {
-                self.verdicts.insert(fingerprint, verdict);
-            }
-        }
-        is_new
-    }
-
     /// Removes expired entries and, above `max_verdicts`, the oldest histories without requests in flight.
     pub fn prune(&mut self, settings: &Settings, now: Timestamp) {
         self.verdicts.retain(|_, it| now < it.expires);
@@ -486,70 +333,3 @@
         self.evidence_targets.retain(|it| died.contains(it) || evidence.contains(it));
     }
 }
-
-impl Incarnation {
-    fn new(target: Name) -> Self {
-        Self {
-            target,
-            in_flight: 1,
-            died: false,
-            died_at: Timestamp::ZERO,
-            unconfirmed: false,
-            was_leaving: false,
-            inconclusive: false,
-        }
-    }
-}
-
-impl History {
-    fn is_idle(&self) -> bool {
-        self.pending.is_none() && self.incarnations.iter().all(|it| it.in_flight == 0)
-    }
-
-    /// Returns whether the death of a target is not confirmed, so that it may be alive.
-    fn has_unconfirmed_death(&self) -> bool {
-        self.incarnations.iter().any(|it| it.died && it.unconfirmed)
-    }
-
-    fn verdict_deadline(&self, pending: &PendingVerdict) -> Timestamp {
-        let timeout =
-            if self.has_unconfirmed_death() { CONFIRMATION_TIMEOUT } else { Duration::ZERO };
-        pending.due_at + timeout
-    }
-
-    /// Confirms a death because the target list no longer names the target. If a peer decides on the verdict, the wait
-    /// is extended, because the list may reach that peer later than this instance.
-    fn confirm_death(&mut self, now: Timestamp, target: &Name) {
-        let died = self.incarnations.iter_mut().filter(|it| it.died && it.target == *target);
-        if died.map(|it| std::mem::take(&mut it.unconfirmed)).fold(false, |any, it| any | it)
-            && let Some(pending) = &mut self.pending
-            && pending.attempt_started.is_none()
-        {
-            pending.due_at = pending.due_at.max(now + VERDICT_TIMEOUT);
-        }
-    }
-
-    /// Discards the matching deaths, and the pending verdict if too few deaths are left.
-    fn discard_deaths(&mut self, matches: impl Fn(&Incarnation) -> bool) {
-        for incarnation in self.incarnations.iter_mut().filter(|it| it.died && matches(it)) {
-            (incarnation.died, incarnation.unconfirmed) = (false, false);
-        }
-        self.incarnations.retain(|it| it.died || it.in_flight > 0);
-        if self.conclusive_deaths() < MAX_TARGETS {
-            self.pending = None;
-        }
-    }
-
-    /// Returns the number of deaths that a shutdown of the target cannot explain.
-    fn conclusive_deaths(&self) -> usize {
-        self.incarnations.iter().filter(|it| it.died && !it.was_leaving).count()
-    }
-
-    fn is_suspect(&self) -> bool {
-        self.incarnations.iter().any(|it| it.died)
-    }
-
-    fn is_restricted(&self) -> bool {
-        self.is_suspect() || (!self.proven_safe && self.incarnations.len() >= MAX_TARGETS)
-    }
-}
