Check the order of events in the soak, beside releases of versions

The soak did not cover targets of several versions, take-ups of broken streams, or the texts of items: its targets had no version, its events were alike, and a stream that broke was only counted.

Targets of the stand-in can now have an identity.

In the soak, targets are replaced in a series of its own beside the other faults: after an announcement, a crash with or without its entry, under a new id at the same address, or under the old id. Callers take broken streams up at the other entry daemon, up to three times; some read slowly. Runs of more than 60 s alternate between calm, in which daemons grow old enough to trust what they have seen of versions, and faults; in every other period daemons are paused and cut off, but not ended.

For streams over all attempts and for items, the check covers: an event that is missing, comes twice or out of order; versions that are joined; a run that goes on after event n without having been asked to; and an answer that is complete before its last event or ends in other bytes. It replaces the comparison of complete answers with the expected list, which it contains. Items have ids of their own in each job.

--- a/crates/borageshed/tests/soak/callers.rs
+++ b/crates/borageshed/tests/soak/callers.rs
@@ -13,19 +13,28 @@
 use async_std::{io::ReadExt as _, net::TcpStream, task};
 use http_types::{Method, Request, Url};
 use rand::Rng as _;
+use serde_json::Value;
 use stdx::rng;
 use test_support::{
-    http::{Call, Reply},
+    http::Call,
     operator::{self, DRAFTS, HOST, JOBS, LOOKUPS, STREAMS},
     target::ReceivedRequest,
 };
 
-use super::fixture::{EVENTS, KEY};
+use super::{
+    fixture::{EVENTS, KEY},
+    order::{self, Runs, Text},
+};
 
 /// The longest time that a call may take: the route's timeout of 5 s, a pause of the daemon of up to 3 s, and the time in
 /// which the daemon stops.
 const MAX_CALL_TIME: Duration = Duration::from_secs(12);
-const ITEMS: [&str; 3] = ["i-1", "i-2", "i-3"];
+/// How often a caller takes up a stream that broke.
+const MAX_TAKE_UPS: usize = 3;
+/// The longest pause of a slow reader before it reads on.
+const MAX_READ_PAUSE_MS: u64 = 150;
+/// The number of items of a job.
+const ITEMS: usize = 3;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -44,6 +53,10 @@
     served: u64,
     refused: u64,
     failed: u64,
+    /// How many attempts to take up a stream brought further events, and how many were made.
+    taken_up: (u64, u64),
+    /// The streams, as each caller had received them after its last attempt.
+    texts: Vec<Text>,
     /// The requests whose answer says that they have not run.
     not_run: Vec<String>,
     /// The results of each job by position, as they were first read.
@@ -61,9 +74,10 @@
 impl Observations {
     pub fn summary(&self) -> String {
         let Self { violations, served, refused, failed, accepted, .. } = self;
+        let (went_on, taken_up) = self.taken_up;
         let (violations, jobs) = (violations.len(), accepted.len());
         format!(
-            "{served} served, {refused} refused, {failed} failed, {jobs} jobs, {violations} broken"
+            "{served} served, {refused} refused, {failed} failed, {went_on} of {taken_up} taken up, {jobs} jobs, {violations} broken"
         )
     }
 }
@@ -123,23 +137,93 @@
         }
     }
 
+    /// Makes a call. The caller of a stream that may go on elsewhere takes it up at another entry daemon each time it breaks.
     async fn call_once(self: Arc<Self>, kind: Kind, id: String, entry: SocketAddr) {
         let prefix = match kind {
             Kind::Streams => STREAMS,
             Kind::Drafts => DRAFTS,
             Kind::Lookups | Kind::KeptLookups | Kind::Jobs => LOOKUPS,
         };
+        let mut rng = rng::seeded(rand::random());
+        let read_pause = match rng.random_bool(0.1) {
+            true => Duration::from_millis(rng.random_range(1..MAX_READ_PAUSE_MS)),
+            false => Duration::ZERO,
+        };
+        let mut text = Text { id: id.clone(), ..Text::default() };
+        self.attempt(call(prefix, &id), entry, read_pause, &mut text).await;
+        let mut first = id.clone();
+        for n in 1..=MAX_TAKE_UPS {
+            if kind != Kind::Streams || text.is_complete {
+                break;
+            }
+            task::sleep(Duration::from_millis(rng.random_range(1..500))).await;
+            text.id = format!("{id}-{n}");
+            let received = text.data.len();
+            let mut take_up = call(prefix, &text.id);
+            if received == 0 {
+                first.clone_from(&text.id);
+            } else {
+                take_up = take_up.header("last-event-id", &received.to_string());
+                take_up = take_up.header("resumes", &first);
+            }
+            let own = self.entries.iter().position(|it| *it == entry).unwrap_or_default();
+            let next = self.entries[(own + n) % self.entries.len()];
+            self.attempt(take_up, next, read_pause, &mut text).await;
+            if received > 0 {
+                let mut observations = self.lock();
+                observations.taken_up.0 += u64::from(text.data.len() > received);
+                observations.taken_up.1 += 1;
+            }
+        }
+        self.lock().texts.push(text);
+    }
+
+    /// Makes one attempt and adds the events that it brings.
+    async fn attempt(&self, call: Call, entry: SocketAddr, read_pause: Duration, text: &mut Text) {
+        let answer = async {
+            let mut res = call.open(entry).await.ok()?;
+            let status = u16::from(res.status());
+            let mut body = Vec::new();
+            let mut buf = [0; 512];
+            let is_whole = loop {
+                match res.read(&mut buf).await {
+                    Ok(0) => break true,
+                    Ok(n) => body.extend_from_slice(&buf[..n]),
+                    Err(_) => break false,
+                }
+                task::sleep(read_pause).await;
+            };
+            Some((status, body, is_whole))
+        };
         let start = Instant::now();
-        let reply = call(prefix, &id).send(entry).await;
+        let answer = async_std::future::timeout(2 * MAX_CALL_TIME, answer).await.ok().flatten();
         let mut observations = self.lock();
-        if start.elapsed() > MAX_CALL_TIME {
+        // A slow reader makes its call last longer.
+        if read_pause.is_zero() && start.elapsed() > MAX_CALL_TIME {
+            let id = &text.id;
             observations.violations.push(format!("{id}: not finished after {:?}", start.elapsed()));
         }
-        let Ok(reply) = reply else {
+        let Some((status, body, is_whole)) = answer else {
             observations.failed += 1;
             return;
         };
-        observations.record(&id, &reply);
+        match is_whole {
+            true => *observations.counter_for(status) += 1,
+            false => observations.failed += 1,
+        }
+        match status {
+            200 => {
+                let (events, rest) = split_events(&body);
+                text.data.extend(events);
+                text.is_complete = is_whole;
+                if is_whole && !rest.is_empty() {
+                    let id = &text.id;
+                    observations.violations.push(format!("{id}: complete, but ends in {rest:?}"));
+                }
+            }
+            429 | 503 if is_whole => observations.not_run.push(text.id.clone()),
+            _ => {}
+        }
     }
 
     /// Sends requests over one connection until the daemon closes it.
@@ -187,7 +271,9 @@
         let mut tries = 0;
         loop {
             let entry = self.entries[tries % self.entries.len()];
-            let job = Call::post(JOBS, operator::job_body(&ITEMS)).key(KEY).header("host", HOST);
+            let items = item_ids(&id);
+            let items: Vec<&str> = items.iter().map(String::as_str).collect();
+            let job = Call::post(JOBS, operator::job_body(&items)).key(KEY).header("host", HOST);
             if job.header("x-request-id", &id).send(entry).await.is_ok_and(|it| it.status == 202) {
                 break;
             }
@@ -232,7 +318,7 @@
     pub async fn unfinished_jobs(&self, jobs: &[String]) -> Vec<String> {
         let mut unfinished = Vec::new();
         for (id, entry) in jobs.iter().zip(self.entries.iter().cycle()) {
-            if self.read_results(id, *entry).await != Some(ITEMS.len()) {
+            if self.read_results(id, *entry).await != Some(ITEMS) {
                 unfinished.push(id.clone());
             }
         }
@@ -250,10 +336,9 @@
         let observations = self.lock();
         let mut violations = observations.violations[before..].to_vec();
         for id in jobs {
-            let texts =
-                (0..ITEMS.len()).filter_map(|it| observations.results.get(&(id.clone(), it)));
+            let texts = (0..ITEMS).filter_map(|it| observations.results.get(&(id.clone(), it)));
             let listed: Vec<&String> = texts.collect();
-            for item in ITEMS {
+            for item in item_ids(id) {
                 let times = listed.iter().filter(|it| it.contains(&format!("\"{item}\""))).count();
                 if times != 1 {
                     violations.push(format!("{id}: {item} is listed {times} times in {listed:?}"));
@@ -263,6 +348,19 @@
         violations
     }
 
+    /// Checks the order of events in all streams and results.
+    pub fn check_order(&self, runs: &Runs) -> Vec<String> {
+        let observations = self.lock();
+        let results = observations.results.iter().filter_map(|((job, _), result)| {
+            let result: Value = serde_json::from_str(result).ok()?;
+            let data = result["text"].as_str()?.lines().map(str::to_owned).collect();
+            let id = format!("{job}/{}", result["id"].as_str().unwrap_or_default());
+            Some(Text { id, data, is_complete: result["state"] == "completed" })
+        });
+        let texts = observations.texts.iter().cloned().chain(results);
+        texts.flat_map(|it| order::violations(&it, runs)).collect()
+    }
+
     /// Checks how often each request reached a target.
     pub fn check_run_counts(&self, received: &[ReceivedRequest]) -> Vec<String> {
         let mut runs: HashMap<&str, u64> = HashMap::new();
@@ -293,23 +391,6 @@
 }
 
 impl Observations {
-    fn record(&mut self, id: &str, reply: &Reply) {
-        *self.counter_for(reply.status) += 1;
-        match reply.status {
-            200 => {
-                let expected: Vec<String> = (1..=EVENTS).map(|n| format!("part {n}")).collect();
-                if reply.event_data() != expected {
-                    self.violations.push(format!(
-                        "{id}: a complete answer with unexpected events {:?}",
-                        reply.event_data()
-                    ));
-                }
-            }
-            429 | 503 => self.not_run.push(id.to_owned()),
-            _ => {}
-        }
-    }
-
     fn counter_for(&mut self, status: u16) -> &mut u64 {
         match status {
             200 => &mut self.served,
@@ -323,3 +404,17 @@
     let call = Call::post(format!("{prefix}x"), "body").key(KEY);
     call.header("host", HOST).header("x-request-id", id)
 }
+
+fn item_ids(job: &str) -> Vec<String> {
+    (1..=ITEMS).map(|n| format!("{job}-i-{n}")).collect()
+}
+
+/// Returns the data of the events that have arrived as a whole, and what follows them.
+fn split_events(body: &[u8]) -> (Vec<String>, String) {
+    let text = String::from_utf8_lossy(body);
+    let Some((whole, rest)) = text.rsplit_once("\n\n") else {
+        return (Vec::new(), text.into_owned());
+    };
+    let data = whole.lines().filter_map(|it| it.strip_prefix("data: "));
+    (data.map(str::to_owned).collect(), rest.to_owned())
+}
--- a/crates/borageshed/tests/soak/faults.rs
+++ b/crates/borageshed/tests/soak/faults.rs
@@ -11,13 +11,21 @@
 use stdx::{Rng, rng};
 use test_support::{link::Relay, operator, platform, target::Behaviour};
 
-use super::fixture::{Fixture, HEALTHY_BEHAVIOUR, KEY};
+use super::{
+    fixture::{EVENTS, Fixture, HEALTHY_BEHAVIOUR, KEY},
+    releases::Releases,
+};
 
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 /// The mean number of faults that are started per second.
 const FAULTS_PER_S: f64 = 2.5;
 /// Faults last from less time than a peer link takes to close to longer than a lease.
 const MAX_FAULT_MS: u64 = 3_000;
+/// Runs longer than this alternate between calm, in which daemons grow old enough to trust what they have seen of versions, and
+/// faults.
+const MAX_UNINTERRUPTED: Duration = Duration::from_secs(60);
+const CALM: Duration = Duration::from_secs(38);
+const FAULTY: Duration = Duration::from_secs(8);
 /// A daemon must exit within this time after it was told to stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -36,11 +44,15 @@
 pub struct FaultInjector {
     rng: Rng,
     version: u64,
+    releases: Releases,
+    /// Whether daemons are stopped and crashed; in the other phases they are only paused and cut off.
+    ends_daemons: bool,
 }
 
 impl FaultInjector {
     pub fn new(seed: u64) -> Self {
-        Self { rng: rng::seeded(seed), version: 2 }
+        let releases = Releases::new(seed);
+        Self { rng: rng::seeded(seed), version: 2, releases, ends_daemons: true }
     }
 
     /// Injects faults for the given time and then ends all of them; returns the unexpected exits of daemons.
@@ -54,6 +66,13 @@
         let steps = (time.as_millis() / STEP_INTERVAL.as_millis()) as usize;
         for step in 0..steps {
             let now = step as u128 * STEP_INTERVAL.as_millis();
+            let elapsed = STEP_INTERVAL * step as u32;
+            let phase = Phase::at(elapsed, time);
+            if phase.begins_calm {
+                self.releases.unify(fixture);
+            }
+            self.ends_daemons = phase.ends_daemons;
+            self.releases.step(fixture, elapsed, STEP_INTERVAL, phase.is_faulty);
             while let Some((&at, _)) =
                 recoveries.first_key_value().filter(|((due, _), _)| *due <= now)
             {
@@ -75,7 +94,7 @@
                     }
                 }
             }
-            if self.rng.random_bool(FAULTS_PER_S * STEP_INTERVAL.as_secs_f64()) {
+            if phase.is_faulty && self.rng.random_bool(FAULTS_PER_S * STEP_INTERVAL.as_secs_f64()) {
                 let duration = u128::from(self.rng.random_range(50..MAX_FAULT_MS));
                 if let Some(recovery) = self.start_fault(fixture) {
                     recoveries.insert((now + duration, step), recovery);
@@ -83,6 +102,7 @@
             }
             task::sleep(STEP_INTERVAL).await;
         }
+        self.releases.end(fixture);
         self.end_all(fixture, recoveries.into_values().collect()).await?;
         Ok(unexpected_exits)
     }
@@ -120,7 +140,7 @@
                 Some(Recovery::RestoreStore(daemon))
             }
             2 | 3 => {
-                self.disturb_link(&fixture.targets[target].1);
+                self.disturb_link(&fixture.targets[target].relay);
                 Some(Recovery::RestoreTarget(target))
             }
             4 | 5 => {
@@ -128,11 +148,11 @@
                     Behaviour::Full,
                     Behaviour::Close,
                     Behaviour::Status(500),
-                    Behaviour::BreakAfter(3),
-                    Behaviour::Stream { events: 6, pause: Duration::from_millis(400) },
+                    Behaviour::BreakAfter(EVENTS / 2),
+                    Behaviour::Stream { events: EVENTS, pause: Duration::from_millis(200) },
                 ];
                 fixture.targets[target]
-                    .0
+                    .server
                     .set_behaviour(behaviours[self.rng.random_range(0..behaviours.len())]);
                 Some(Recovery::ResetBehaviour(target))
             }
@@ -140,6 +160,10 @@
                 fixture.daemons[daemon].process.pause();
                 Some(Recovery::Resume(daemon))
             }
+            7 | 8 if !self.ends_daemons => {
+                fixture.daemons[daemon].process.pause();
+                Some(Recovery::Resume(daemon))
+            }
             7 => {
                 fixture.daemons[daemon].process.crash();
                 Some(Recovery::Restart(daemon, fixture.daemons[daemon].process.id()))
@@ -184,9 +208,9 @@
     fn end_fault(&self, fixture: &mut Fixture, recovery: Recovery) -> io::Result<bool> {
         match recovery {
             Recovery::RestoreStore(daemon) => restore(&fixture.daemons[daemon].store_relay),
-            Recovery::RestoreTarget(target) => restore(&fixture.targets[target].1),
+            Recovery::RestoreTarget(target) => restore(&fixture.targets[target].relay),
             Recovery::ResetBehaviour(target) => {
-                fixture.targets[target].0.set_behaviour(HEALTHY_BEHAVIOUR)
+                fixture.targets[target].server.set_behaviour(HEALTHY_BEHAVIOUR)
             }
             Recovery::Resume(daemon) => fixture.daemons[daemon].process.resume(),
             Recovery::Restart(daemon, id) => {
@@ -204,6 +228,28 @@
     }
 }
 
+/// What happens at a time of a run.
+struct Phase {
+    is_faulty: bool,
+    begins_calm: bool,
+    ends_daemons: bool,
+}
+
+impl Phase {
+    fn at(elapsed: Duration, time: Duration) -> Self {
+        if time <= MAX_UNINTERRUPTED {
+            return Self { is_faulty: true, begins_calm: false, ends_daemons: true };
+        }
+        let period = (CALM + FAULTY).as_millis();
+        let (number, at) = (elapsed.as_millis() / period, elapsed.as_millis() % period);
+        Self {
+            is_faulty: at >= CALM.as_millis(),
+            begins_calm: at < STEP_INTERVAL.as_millis(),
+            ends_daemons: number % 2 == 1,
+        }
+    }
+}
+
 fn restore(relay: &Relay) {
     relay.refuse(false);
     relay.silence_new(false);
--- a/crates/borageshed/tests/soak/fixture.rs
+++ b/crates/borageshed/tests/soak/fixture.rs
@@ -16,20 +16,22 @@
     operator,
     platform::Platform,
     processes::{Process, binary},
-    target::{Behaviour, ReceivedRequest, Target},
+    target::{Behaviour, Identity, ReceivedRequest, Target},
     wait::wait_until,
 };
 
+use super::{order::Runs, releases};
+
 pub const KEY: &str = "key-one";
 /// The number of events in each answer.
-pub const EVENTS: u64 = 6;
+pub const EVENTS: u64 = 12;
 /// The behaviour of a target without a fault.
 pub const HEALTHY_BEHAVIOUR: Behaviour =
-    Behaviour::Stream { events: EVENTS, pause: Duration::from_millis(15) };
+    Behaviour::Stream { events: EVENTS, pause: Duration::from_millis(20) };
 
 const ENTRIES: u16 = 2;
 const DAEMONS: u16 = 4;
-const TARGETS: usize = 3;
+const TARGETS: usize = 5;
 const CALLERS_PORT: u16 = 8_000;
 const ADMIN_PORT: u16 = 8_100;
 const PEER_PORT: u16 = 8_200;
@@ -45,10 +47,21 @@
     log: PathBuf,
 }
 
+/// A target, whose id and version change when it is replaced at its address.
+pub struct SoakTarget {
+    pub server: Target,
+    /// The relay in front of the target.
+    pub relay: Relay,
+    pub version: String,
+    id: String,
+    /// The number of starts at this address.
+    starts: u64,
+}
+
 pub struct Fixture {
     pub platform: Platform,
     pub daemons: Vec<Daemon>,
-    pub targets: Vec<(Target, Relay)>,
+    pub targets: Vec<SoakTarget>,
     folder: TempDir,
     ip: Ipv4Addr,
 }
@@ -61,6 +74,18 @@
     }
 }
 
+impl SoakTarget {
+    /// Closes the connections to the target and refuses new ones until it is started.
+    pub fn end_process(&self) {
+        self.relay.refuse(true);
+        self.relay.cut();
+    }
+
+    fn state(&self) -> operator::TargetState<'_> {
+        operator::TargetState { version: &self.version, born_ms: self.starts, is_leaving: false }
+    }
+}
+
 impl Fixture {
     pub async fn start() -> io::Result<Self> {
         static NEXT: AtomicU8 = AtomicU8::new(0);
@@ -71,13 +96,16 @@
         operator::configure(&platform, 2, &[KEY]);
         let mut targets = Vec::new();
         for n in 0..TARGETS {
-            let target = Target::start(HEALTHY_BEHAVIOUR).await?;
-            let relay = Relay::start(target.address()).await?;
-            operator::register(&platform, &format!("t-{n}"), relay.address());
-            targets.push((target, relay));
+            let server = Target::start(HEALTHY_BEHAVIOUR).await?;
+            let relay = Relay::start(server.address()).await?;
+            let (id, version) = (format!("t-{n}"), String::new());
+            targets.push(SoakTarget { server, relay, version, id, starts: 0 });
         }
         let mut fixture =
             Self { platform, daemons: Vec::new(), targets, folder: TempDir::new()?, ip };
+        for n in 0..TARGETS {
+            fixture.start_target(n, releases::version_name(1), true);
+        }
         for n in 0..DAEMONS {
             let daemon = fixture.start_daemon(n).await?;
             fixture.daemons.push(daemon);
@@ -130,9 +158,51 @@
         SocketAddr::from((self.ip, entry.port() - CALLERS_PORT + ADMIN_PORT))
     }
 
+    /// Starts a target in place of the one that has run at its address.
+    pub fn start_target(&mut self, n: usize, version: String, keeps_id: bool) {
+        let target = &mut self.targets[n];
+        target.end_process();
+        target.starts += 1;
+        target.version = version;
+        if !keeps_id {
+            operator::unregister(&self.platform, &target.id);
+            target.id = format!("t-{n}-{}", target.starts);
+        }
+        let (id, version) = (target.id.clone(), target.version.clone());
+        target.server.set_identity(Identity { id, version });
+        target.relay.refuse(false);
+        operator::register_state(
+            &self.platform,
+            &target.id,
+            target.relay.address(),
+            target.state(),
+        );
+    }
+
+    /// Reports that a target is shutting down; it goes on serving.
+    pub fn announce_leaving(&self, n: usize) {
+        let target = &self.targets[n];
+        let state = operator::TargetState { is_leaving: true, ..target.state() };
+        operator::register_state(&self.platform, &target.id, target.relay.address(), state);
+    }
+
+    /// Removes the entry of a target.
+    pub fn remove_entry(&self, n: usize) {
+        operator::unregister(&self.platform, &self.targets[n].id);
+    }
+
     /// Returns the requests that reached the targets.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
-        self.targets.iter().flat_map(|(target, _)| target.requests()).collect()
+        self.targets.iter().flat_map(|it| it.server.requests()).collect()
+    }
+
+    /// Returns the requests that reached the targets, by the name of the run.
+    pub fn runs(&self) -> Runs {
+        let named = |it: &SoakTarget| -> Runs {
+            let requests = it.server.requests().into_iter().enumerate();
+            requests.map(|(n, request)| (it.server.run_name(n), request)).collect()
+        };
+        self.targets.iter().flat_map(named).collect()
     }
 
     /// Stops the daemons and returns the folder of their logs, which is kept if `keep_logs` is set.
--- a/crates/borageshed/tests/soak/main.rs
+++ b/crates/borageshed/tests/soak/main.rs
@@ -7,6 +7,8 @@
 mod callers;
 mod faults;
 mod fixture;
+mod order;
+mod releases;
 
 use std::{env, io, io::Write as _, sync::Arc, time::Duration};
 
@@ -81,6 +83,7 @@
     }
     observations.violations.extend(callers.check_results(&jobs).await);
     observations.violations.extend(callers.check_run_counts(&fixture.received_requests()));
+    observations.violations.extend(callers.check_order(&fixture.runs()));
     let folder = fixture.stop(!observations.violations.is_empty());
     Ok((observations, folder))
 }
