Continue a stream only if its targets' versions are certain

A caller could get a stream that begins at one software version and goes on at another, from an instance that had not heard that a target started again under its id and address with another version. The instance placed requests by the version in the list that it last read, recorded that version as the origin, and continued the stream there or elsewhere. This happened in both orders: the restarted target began the stream, or was asked to go on.

AnswerInfo names the time at which the connection had been opened. A process that answers had started by then, so a list of targets that was read later tells its version. Before a stream goes on, the target that began it and the target that was asked to go on are checked this way; a list is read if the last one is older than the connection. If it names another version, or none can be read, the stream breaks off and its caller decides. A connection that is older than the last list costs no read, and reads of several streams are shared.

Not covered: a target that accepts connections before it has registered its new version.

--- a/crates/borageshed/src/directory.rs
+++ b/crates/borageshed/src/directory.rs
@@ -35,10 +35,20 @@
     }
 }
 
+value_type! {
+    /// What is known of a target.
+    pub struct TargetEntry {
+        /// The address on which the target listens.
+        pub address: SocketAddr,
+        /// The version of the target's software; empty if unknown.
+        pub version: Name,
+    }
+}
+
 /// A snapshot of the targets.
 #[derive(Debug, Default)]
 pub struct TargetTable {
-    addresses: BTreeMap<TargetName, SocketAddr>,
+    entries: BTreeMap<TargetName, TargetEntry>,
     targets: HashMap<TargetId, TargetName>,
     services: HashMap<ServiceId, QualifiedName>,
 }
@@ -68,14 +78,14 @@
 }
 
 impl TargetTable {
-    /// Creates a table of targets and their addresses.
-    pub fn new(targets: impl IntoIterator<Item = (TargetName, SocketAddr)>) -> Self {
+    /// Creates a table of targets.
+    pub fn new(targets: impl IntoIterator<Item = (TargetName, TargetEntry)>) -> Self {
         let mut table = Self::default();
-        for (name, address) in targets {
+        for (name, entry) in targets {
             let id = TargetId::of(&name.service, &name.target);
             table.services.insert(ServiceId::of(&name.service), name.service.clone());
             table.targets.insert(id, name.clone());
-            table.addresses.insert(name, address);
+            table.entries.insert(name, entry);
         }
         table
     }
@@ -85,7 +95,7 @@
         let targets = document.services.iter().flat_map(|(service, it)| {
             it.targets.iter().map(|(target, it)| {
                 let name = TargetName { service: service.clone(), target: target.clone() };
-                (name, it.address)
+                (name, TargetEntry { address: it.address, version: Name::from("") })
             })
         });
         Self::new(targets)
@@ -115,7 +125,12 @@
 
     /// Returns the address of a target.
     pub fn address(&self, service: &QualifiedName, target: &Name) -> Option<SocketAddr> {
+        Some(self.entry(service, target)?.address)
+    }
+
+    /// Returns what is known of a target.
+    pub fn entry(&self, service: &QualifiedName, target: &Name) -> Option<TargetEntry> {
         let name = TargetName { service: service.clone(), target: target.clone() };
-        self.snapshot().addresses.get(&name).copied()
+        self.snapshot().entries.get(&name).cloned()
     }
 }
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -18,7 +18,11 @@
 use stdx::{Name, Timestamp};
 
 use super::{
-    Call, Message, Resumption, attempt, event_gap::EventGapMeter, events::EventSplitter, protocol,
+    Call, Message, Resumption, attempt,
+    event_gap::EventGapMeter,
+    events::EventSplitter,
+    protocol,
+    source::{AnswerSource, VersionCheck},
 };
 use crate::{
     answer::set_body,
@@ -142,7 +146,7 @@
         let mut resumes = 0;
         // Events of the current attempt follow those of the attempts before it.
         let (mut events_before, mut has_output) = (0, false);
-        let mut version = self.version.clone();
+        let mut source = AnswerSource::of(&res, &self.target, &self.version);
         let mut buf = vec![0; MAX_PIECE_BYTES];
         loop {
             match self.read_events(&mut res, &mut buf, &mut splitter).await {
@@ -150,7 +154,7 @@
                     if !has_output && splitter.event_count() > events_before {
                         has_output = true;
                         self.admission.output_begun();
-                        self.record_origin(&version);
+                        self.record_origin(&source.version);
                     }
                     // After a resumption on any target, `self.target` may not be the target that sends the stream.
                     if !is_resumed {
@@ -175,8 +179,11 @@
                     resumes += 1;
                     let resumed = match self.call.resumption {
                         Resumption::AnyTarget { after } => {
-                            let resumed =
-                                self.resume_on_any_target(splitter.last_id().or(after), &e).await;
+                            let last_event = splitter.last_id().or(after);
+                            let resumed = match has_output && !self.is_of_version(&source).await {
+                                true => ResumeOutcome::Failed,
+                                false => self.resume_on_any_target(last_event, &e).await,
+                            };
                             splitter.begin_attempt();
                             resumed
                         }
@@ -191,9 +198,9 @@
                         }
                     };
                     match resumed {
-                        ResumeOutcome::Continued(next, next_version) => {
+                        ResumeOutcome::Continued(next, next_source) => {
                             (events_before, has_output) = (splitter.event_count(), false);
-                            (res, version) = (*next, next_version);
+                            (res, source) = (*next, next_source);
                         }
                         ResumeOutcome::Failed => {
                             self.deliver_error_event(&tx).await;
@@ -268,8 +275,10 @@
             };
             match directive {
                 Directive::Dispatch { target, version, .. } => {
-                    if let Some(res) = self.resume_on((&target, &version), last_event).await {
-                        return ResumeOutcome::Continued(Box::new(res), version);
+                    if let Some((res, source)) =
+                        self.resume_on((&target, &version), last_event).await
+                    {
+                        return ResumeOutcome::Continued(Box::new(res), source);
                     }
                 }
                 Directive::Yield | Directive::Cancel => {}
@@ -283,7 +292,7 @@
         &self,
         (target, version): (&Name, &Name),
         last_event: Option<u64>,
-    ) -> Option<Response> {
+    ) -> Option<(Response, AnswerSource)> {
         let address = self.cx.directory.address(&self.call.service, target);
         let req =
             address.and_then(|it| protocol::request(&self.cx, &self.call, it, target, last_event));
@@ -318,12 +327,26 @@
             self.admission.failed_after_send(FailureCause::BadAnswer);
             return None;
         }
+        let source = AnswerSource::of(&res, target, version);
+        if last_event.is_some() && !self.is_of_version(&source).await {
+            // The target is sound, but what it sends may not fit to what the caller has.
+            drop(res);
+            self.admission.failed_after_send(FailureCause::AnswerLost);
+            return None;
+        }
         info!(
             self.cx.log, "stream resumed";
             "request" => &self.call.request_id, "target" => %target, "version" => %version, "last_event" => last_event
         );
         self.admission.first_byte();
-        Some(res)
+        Some((res, source))
+    }
+
+    /// Returns whether it is certain that a target of the version under which the request was placed sends the answer.
+    async fn is_of_version(&self, source: &AnswerSource) -> bool {
+        let time_left = self.call.time_left(self.cx.clock.now());
+        let check = source.check_version(&self.cx, &self.call.service, time_left).await;
+        check == VersionCheck::Confirmed
     }
 
     /// Requests the rest of the stream from the target that began it, over a new connection.
@@ -347,7 +370,8 @@
             "request" => &self.call.request_id, "events" => from, "resumed" => resumed.is_some(), "error" => %error
         );
         resumed.map_or(ResumeOutcome::Failed, |it| {
-            ResumeOutcome::Continued(Box::new(it), self.version.clone())
+            let source = AnswerSource::of(&it, &self.target, &self.version);
+            ResumeOutcome::Continued(Box::new(it), source)
         })
     }
 
@@ -455,8 +479,8 @@
 
 /// The outcome of an attempt to resume a broken stream.
 enum ResumeOutcome {
-    /// A target of this version sends the rest of the stream.
-    Continued(Box<Response>, Name),
+    /// This target sends the rest of the stream.
+    Continued(Box<Response>, AnswerSource),
     /// The stream cannot be continued; the failure has not been reported to the control thread yet.
     Failed,
     /// The control thread refused the request.
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -6,6 +6,7 @@
 //! - [`event_gap`]: measures the time between the events of a stream.
 //! - [`protocol`]: metadata that is exchanged with targets besides requests and answers.
 //! - [`refusal`]: answers to requests that the daemon refuses.
+//! - [`source`]: the target that sends an answer, and whether its version is certain.
 //! - [`event_data`]: collects the data of event streams.
 //! - [`events`]: splits event streams into whole events.
 //! - `forwarder`: forwards an answer to the caller while it arrives.
@@ -18,6 +19,7 @@
 pub mod events;
 pub mod protocol;
 pub mod refusal;
+pub mod source;
 
 mod forwarder;
 
--- /dev/null
+++ b/crates/borageshed/src/online/source.rs
@@ -0,0 +1,76 @@
+//! The target that sends an answer, and whether its version is the one that this instance heard of.
+//!
+//! A target may start again under its id and address with software of another version. An instance that has not heard of it still places
+//! requests there under the earlier version, so what it heard proves nothing about a process that accepted a connection later.
+
+use std::time::{Duration, Instant};
+
+use fleet::QualifiedName;
+use http_edge::client::AnswerInfo;
+use http_types::Response;
+use slog::info;
+use stdx::Name;
+
+use crate::{settings::FleetSource, shared::Shared};
+
+/// The longest time that the list of targets is awaited before an answer goes on at another target.
+const MAX_CHECK: Duration = Duration::from_millis(600);
+
+/// The target that sends an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerSource {
+    /// The target.
+    pub target: Name,
+    /// The version under which the request was placed there.
+    pub version: Name,
+    /// When the connection had been opened.
+    opened_at: Instant,
+}
+
+/// What is known about the version of a target that sends an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum VersionCheck {
+    /// A list of targets that is newer than the connection names the version.
+    Confirmed,
+    /// The target has another version now, so either one may have sent the answer.
+    Changed,
+    /// No list that is newer than the connection could be read.
+    Unconfirmed,
+}
+
+impl AnswerSource {
+    /// Returns the source of an answer to a request that was placed at a target of a version.
+    pub fn of(res: &Response, target: &Name, version: &Name) -> Self {
+        let opened_at = res.ext().get::<AnswerInfo>().map_or_else(Instant::now, |it| it.opened_at);
+        Self { target: target.clone(), version: version.clone(), opened_at }
+    }
+
+    /// Checks the version of the target against a list that is newer than its connection; reads one if there is none yet.
+    pub async fn check_version(
+        &self,
+        cx: &Shared,
+        service: &QualifiedName,
+        time_left: Duration,
+    ) -> VersionCheck {
+        if cx.settings.source == FleetSource::Document {
+            // The targets of a document have no versions.
+            return VersionCheck::Confirmed;
+        }
+        let limit = self.opened_at.elapsed() + MAX_CHECK.min(time_left / 2);
+        let is_confirmed = cx.streams.confirm_targets(cx, self.opened_at, limit).await;
+        let entry = cx.directory.entry(service, &self.target);
+        let check = match (entry, is_confirmed) {
+            (Some(entry), _) if entry.version != self.version => VersionCheck::Changed,
+            // A target that is no longer listed has not started again.
+            (_, true) => VersionCheck::Confirmed,
+            (_, false) => VersionCheck::Unconfirmed,
+        };
+        if check != VersionCheck::Confirmed {
+            info!(
+                cx.log, "version of an answer is not certain";
+                "service" => %service, "target" => %self.target, "version" => %self.version, "check" => ?check
+            );
+        }
+        check
+    }
+}
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -20,7 +20,7 @@
 use crate::{
     config_sync::{self, PeerRevision},
     control::ControlEvent,
-    directory::{TargetName, TargetTable},
+    directory::{TargetEntry, TargetName, TargetTable},
     in_force::InForce,
     shared::Shared,
 };
@@ -149,7 +149,9 @@
         service: it.service.clone(),
         target: it.id.name().clone(),
     };
-    cx.directory.set(TargetTable::new(targets.iter().map(|it| (name(it), it.address))));
+    let entry =
+        |it: &RegisteredTarget| TargetEntry { address: it.address, version: it.version.clone() };
+    cx.directory.set(TargetTable::new(targets.iter().map(|it| (name(it), entry(it)))));
     let mut versions: BTreeMap<QualifiedName, BTreeSet<Name>> = BTreeMap::new();
     for target in &targets {
         versions.entry(target.service.clone()).or_default().insert(target.version.clone());
--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -255,7 +255,14 @@
     }
 
     /// Makes the known targets include all that the store knew at `since`; returns `false` if a read fails or takes too long.
-    async fn confirm_targets(&self, cx: &Shared, since: Instant, limit: Duration) -> bool {
+    ///
+    /// `limit` counts from `since` on; a read that is needed may take [`MIN_READ_TIME`] in any case.
+    pub(crate) async fn confirm_targets(
+        &self,
+        cx: &Shared,
+        since: Instant,
+        limit: Duration,
+    ) -> bool {
         let requested_at = Instant::now();
         let confirmed = async {
             loop {
--- a/crates/http-edge/src/client/exchange.rs
+++ b/crates/http-edge/src/client/exchange.rs
@@ -91,6 +91,7 @@
     let info = AnswerInfo {
         connection: conn.handle(),
         reused,
+        opened_at: conn.opened_at,
         time_to_head: started.elapsed(),
         ends_with_connection: framing == Framing::UntilClose,
     };
--- a/crates/http-edge/src/client/mod.rs
+++ b/crates/http-edge/src/client/mod.rs
@@ -138,6 +138,8 @@
     pub connection: ConnectionHandle,
     /// Whether the connection carried an earlier exchange.
     pub reused: bool,
+    /// When the connection had been opened. The process that answers had started by then.
+    pub opened_at: Instant,
     /// Time from the start of sending to the head of the answer.
     pub time_to_head: Duration,
     /// Whether the answer has no announced length and ends when the connection closes. A truncated answer then looks
--- a/crates/http-edge/src/client/pool.rs
+++ b/crates/http-edge/src/client/pool.rs
@@ -26,6 +26,7 @@
 pub(crate) struct Connection {
     id: u64,
     pub(crate) addr: SocketAddr,
+    pub(crate) opened_at: Instant,
     pub(crate) stream: TcpStream,
     pub(crate) buf: BytesMut,
     closed_by_owner: Arc<AtomicBool>,
@@ -42,6 +43,7 @@
         Self {
             id,
             addr,
+            opened_at: Instant::now(),
             stream,
             buf: BytesMut::new(),
             closed_by_owner: Arc::new(AtomicBool::new(false)),
