Continue the text of an item only if its targets' versions are certain

The text of an item could begin at one software version and go on at another: the owner of its job had not heard that a target started again under its id and address with another version, and continued the output, or stored it for the next owner, by the version in the list that it last read.

The output notes whether it is certain that its version sent it. That is checked against a list of targets that is newer than the connection: one second after an attempt began, or when it breaks off. What is not certain is neither stored as partial output nor continued; the item starts anew. An attempt that continues an output is checked before its events are taken.

The test of a checkpoint after an event with empty data now states that the version is certain, since only such output is stored; another test says that uncertain output is not.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use async_std::{future::timeout, io::ReadExt as _};
+use async_std::{future::timeout, io::ReadExt as _, task};
 use futures::future::{Either, select};
 use http_edge::client::{Failure, Progress, SendError};
 use http_types::Response;
@@ -18,8 +18,12 @@
 use crate::{
     control::{Admission, Directive},
     online::{
-        Call, attempt, event_data::EventData, event_gap::EventGapMeter, events::StreamError,
+        Call, attempt,
+        event_data::EventData,
+        event_gap::EventGapMeter,
+        events::StreamError,
         protocol,
+        source::{AnswerSource, VersionCheck},
     },
     shared::Shared,
 };
@@ -34,6 +38,9 @@
 const FAILED_STATUS: u16 = 500;
 /// The longest time between two complete events of an item's stream.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// When the version of a running item's output is checked, which costs a read of the store after new connections. Items that end or
+/// break earlier do not need it for a stored partial output.
+const VERSION_CHECK_DELAY: Duration = Duration::from_secs(1);
 const BUFFER_BYTES: usize = 16 * 1024;
 
 enum AttemptOutcome {
@@ -233,7 +240,25 @@
             _ => AttemptOutcome::Refused(MAX_RETRY_DELAY),
         };
     }
-    match read_output(cx, call, target, res, &admission, output).await {
+    let source = AnswerSource::of(&res, target, version);
+    if last_event.is_some() {
+        let check = Box::pin(is_of_version(cx, call, &source));
+        let checked = match select(check, Box::pin(admission.next())).await {
+            Either::Left((is_certain, _)) => Ok(is_certain),
+            Either::Right((directive, _)) => Err(directive),
+        };
+        match checked {
+            Ok(true) => {}
+            Ok(false) => {
+                // What the target sends may not fit to the output so far.
+                drop(res);
+                admission.failed_after_send(FailureCause::AnswerLost);
+                return AttemptOutcome::AwaitDirective(admission);
+            }
+            Err(directive) => return on_interrupted(admission, directive),
+        }
+    }
+    match read_checked_output(cx, call, &source, res, &admission, output).await {
         ReadOutcome::Whole => {
             attempt::observe_request(cx, call, started);
             debug!(cx.log, "item completed"; "request" => &call.request_id, "target" => %target);
@@ -280,6 +305,45 @@
     Interrupted(Option<Directive>),
 }
 
+async fn is_of_version(cx: &Shared, call: &Call, source: &AnswerSource) -> bool {
+    let time_left = call.time_left(cx.clock.now());
+    source.check_version(cx, &call.service, time_left).await == VersionCheck::Confirmed
+}
+
+/// Reads the output, and checks that it comes from the version under which the item was placed: after a while, so that it can be stored,
+/// or else when it breaks off. What is not certain is not continued.
+async fn read_checked_output(
+    cx: &Shared,
+    call: &Call,
+    source: &AnswerSource,
+    res: Response,
+    admission: &Admission,
+    output: &SharedOutput,
+) -> ReadOutcome {
+    let read = Box::pin(read_output(cx, call, &source.target, res, admission, output));
+    let check = Box::pin(async {
+        task::sleep(VERSION_CHECK_DELAY).await;
+        is_of_version(cx, call, source).await
+    });
+    let outcome = match select(read, check).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right((is_certain, read)) => {
+            if is_certain {
+                output.lock().confirm_version();
+            }
+            read.await
+        }
+    };
+    let is_certain = output.lock().is_version_certain();
+    if !is_certain
+        && matches!(outcome, ReadOutcome::Broken(_))
+        && is_of_version(cx, call, source).await
+    {
+        output.lock().confirm_version();
+    }
+    outcome
+}
+
 async fn read_output(
     cx: &Shared,
     call: &Call,
--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -26,6 +26,8 @@
     has_data: bool,
     /// The version of the target that sent the first event, or of the current one before the first event.
     version: Option<Name>,
+    /// Whether it is certain that a target of `version` sent the events.
+    is_version_certain: bool,
 }
 
 impl From<PartialOutput> for EventData {
@@ -37,9 +39,14 @@
         let mut text_share = OUTPUTS.share();
         // Without room for what is stored, the item starts anew.
         match text_share.resize(text.len()) {
-            Ok(()) => {
-                Self { splitter, text, text_share, has_data: events > 0, version: Some(version) }
-            }
+            Ok(()) => Self {
+                splitter,
+                text,
+                text_share,
+                has_data: events > 0,
+                version: Some(version),
+                is_version_certain: true,
+            },
             Err(_) => Self::default(),
         }
     }
@@ -53,6 +60,7 @@
             text_share: OUTPUTS.share(),
             has_data: false,
             version: None,
+            is_version_certain: false,
         }
     }
 }
@@ -60,7 +68,7 @@
 impl EventData {
     /// Returns the whole events, if a run can continue after them.
     pub fn partial_output(&self) -> Option<PartialOutput> {
-        let last_event = self.last_id()?;
+        let last_event = self.last_id().filter(|_| self.is_version_certain)?;
         Some(PartialOutput {
             text: self.text.clone(),
             events: self.event_count(),
@@ -70,17 +78,32 @@
     }
 
     /// Records that a target of a version is about to send output, and returns the id of the last event, after which it goes on.
+    ///
+    /// Output of an uncertain version is discarded, since no target is known to go on with it.
     pub fn begin_attempt(&mut self, version: &Name) -> Option<u64> {
+        if !self.is_version_certain {
+            *self = Self::default();
+        }
         self.splitter.begin_attempt();
         if self.event_count() == 0 {
-            self.version = Some(version.clone());
+            (self.version, self.is_version_certain) = (Some(version.clone()), false);
         }
         self.last_id()
     }
 
-    /// Returns the version of the target that began the output; `None` before the first event.
+    /// Records that a target of the version is certain to send the output.
+    pub fn confirm_version(&mut self) {
+        self.is_version_certain = true;
+    }
+
+    /// Returns whether it is certain which version the output comes from.
+    pub fn is_version_certain(&self) -> bool {
+        self.is_version_certain
+    }
+
+    /// Returns the version of the target that began the output; `None` before the first event, or if it is not certain.
     pub fn version(&self) -> Option<&Name> {
-        self.version.as_ref().filter(|_| self.event_count() > 0)
+        self.version.as_ref().filter(|_| self.event_count() > 0 && self.is_version_certain)
     }
 
     /// Adds a piece of the stream.
--- a/crates/borageshed/tests/event_data.rs
+++ b/crates/borageshed/tests/event_data.rs
@@ -25,6 +25,7 @@
 fn a_checkpoint_after_an_event_with_empty_data_is_continued_on_a_line_of_its_own() {
     let mut data = EventData::default();
     data.begin_attempt(&Name::new("1"));
+    data.confirm_version();
     data.push(b"id: 1\ndata:\n\n").expect("a short stream");
     let mut continued = EventData::from(data.partial_output().expect("an event"));
     continued.begin_attempt(&Name::new("1"));
@@ -32,6 +33,20 @@
     assert_eq!(continued.text(), "\nb");
 }
 
+// Guards against a text that is continued although another version than the recorded one may have begun it.
+#[test]
+fn output_of_an_uncertain_version_is_not_continued() {
+    let mut data = EventData::default();
+    data.begin_attempt(&Name::new("1"));
+    data.push(b"id: 1\ndata: a\n\n").expect("a short stream");
+    assert_eq!((data.partial_output(), data.version()), (None, None));
+    assert_eq!(data.begin_attempt(&Name::new("1")), None);
+    data.confirm_version();
+    data.push(b"id: 1\ndata: b\n\n").expect("a short stream");
+    assert_eq!((data.text(), data.version()), ("b", Some(&Name::new("1"))));
+    assert_eq!(data.begin_attempt(&Name::new("1")), Some(1));
+}
+
 // Guards against a process that runs out of memory, because each of many streams may hold an event up to the limit for one.
 #[test]
 fn unfinished_events_of_many_streams_hold_a_bounded_amount_together() {
--- a/crates/borageshed/tests/restarted_targets.rs
+++ b/crates/borageshed/tests/restarted_targets.rs
@@ -4,8 +4,9 @@
 use std::{collections::BTreeSet, io, net::SocketAddr, time::Duration};
 
 use async_std::task;
-use operator_site::{Site, call, wait_until};
+use operator_site::{KEY, Site, call, submission, wait_until};
 use test_support::{
+    http::Call,
     operator::{self, HOST, STREAMS},
     target::{Behaviour, Target},
 };
@@ -108,3 +109,50 @@
     wait_until("a stream goes on at another target of its version", goes_on).await?;
     Ok(())
 }
+
+// Guards against the text of an item that is joined from two versions, because a target starts again with another one while the owner of
+// the job is cut off from the store.
+#[async_std::test]
+async fn an_item_is_not_joined_after_a_restart_that_its_cut_off_owner_has_not_heard_of()
+-> io::Result<()> {
+    let kept = Target::start(Behaviour::BreakAfter(3)).await?;
+    let restarted = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = site_with_known_targets(&kept, &restarted).await?;
+    // The items wait until the owner has been cut off.
+    kept.set_behaviour(Behaviour::Full);
+    restarted.set_behaviour(Behaviour::Full);
+    let items: Vec<String> = (0..8).map(|n| format!("i-{n}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(site.send(submission("job", &items)).await.status, 202);
+    let has_owner = async || kept.requests().iter().any(|it| !it.ran);
+    wait_until("the job has an owner", has_owner).await?;
+    site.worker_link.silence();
+    site.worker_link.silence_new(true);
+    site.entry.pause();
+    restarted.restart();
+    operator::register_version(&site.platform, "t-2", restarted.address(), "v2");
+    kept.set_behaviour(Behaviour::BreakAfter(3));
+    restarted.set_behaviour(Behaviour::BreakAfter(3));
+    task::sleep(Duration::from_millis(1_500)).await;
+    site.worker_link.cut();
+    site.worker_link.silence_new(false);
+    site.entry.resume();
+    site.wait_for_results("job", items.len()).await?;
+    let ran = |target: &Target, is_continued| -> BTreeSet<String> {
+        let requests = target.requests();
+        let ran = requests.iter().filter(|it| it.ran);
+        let ran = ran.filter(|it| it.header("last-event-id").is_some() == is_continued);
+        ran.filter_map(|it| it.header("x-request-id")).map(str::to_owned).collect()
+    };
+    for (one, other) in [(&kept, &restarted), (&restarted, &kept)] {
+        let alone: BTreeSet<_> = ran(one, false).difference(&ran(other, false)).cloned().collect();
+        let joined: Vec<_> = alone.intersection(&ran(other, true)).cloned().collect();
+        assert_eq!(joined, Vec::<String>::new(), "went on at the other version");
+    }
+    let results = site.send(Call::get(operator::results_path("job", 0)).key(KEY)).await.json();
+    for result in results["results"].as_array().into_iter().flatten() {
+        let text = result["text"].as_str().unwrap_or_default();
+        assert_eq!(text.lines().count(), 6, "{result}");
+    }
+    Ok(())
+}
