Keep the output of an item that yields if its version is already certain

An item that yields its slot within a second started anew, because its version had not been checked yet. The last list of targets is usually newer than its connection, so it is compared without reading the store.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -334,11 +334,18 @@
             read.await
         }
     };
-    let is_certain = output.lock().is_version_certain();
-    if !is_certain
-        && matches!(outcome, ReadOutcome::Broken(_))
-        && is_of_version(cx, call, source).await
-    {
+    if output.lock().is_version_certain() {
+        return outcome;
+    }
+    let is_certain = match outcome {
+        ReadOutcome::Broken(_) => is_of_version(cx, call, source).await,
+        // An online request waits for the slot, so the store is not read.
+        ReadOutcome::Interrupted(_) => {
+            source.check_known_version(cx, &call.service) == VersionCheck::Confirmed
+        }
+        ReadOutcome::Whole => false,
+    };
+    if is_certain {
         output.lock().confirm_version();
     }
     outcome
--- a/crates/borageshed/src/online/source.rs
+++ b/crates/borageshed/src/online/source.rs
@@ -58,13 +58,7 @@
         }
         let limit = self.opened_at.elapsed() + MAX_CHECK.min(time_left / 2);
         let is_confirmed = cx.streams.confirm_targets(cx, self.opened_at, limit).await;
-        let entry = cx.directory.entry(service, &self.target);
-        let check = match (entry, is_confirmed) {
-            (Some(entry), _) if entry.version != self.version => VersionCheck::Changed,
-            // A target that is no longer listed has not started again.
-            (_, true) => VersionCheck::Confirmed,
-            (_, false) => VersionCheck::Unconfirmed,
-        };
+        let check = self.compare(cx, service, is_confirmed);
         if check != VersionCheck::Confirmed {
             info!(
                 cx.log, "version of an answer is not certain";
@@ -73,4 +67,22 @@
         }
         check
     }
+
+    /// Checks the version of the target against the last list, without reading one.
+    pub fn check_known_version(&self, cx: &Shared, service: &QualifiedName) -> VersionCheck {
+        if cx.settings.source == FleetSource::Document {
+            return VersionCheck::Confirmed;
+        }
+        self.compare(cx, service, cx.streams.are_targets_confirmed(self.opened_at))
+    }
+
+    fn compare(&self, cx: &Shared, service: &QualifiedName, is_confirmed: bool) -> VersionCheck {
+        let entry = cx.directory.entry(service, &self.target);
+        match (entry, is_confirmed) {
+            (Some(entry), _) if entry.version != self.version => VersionCheck::Changed,
+            // A target that is no longer listed has not started again.
+            (_, true) => VersionCheck::Confirmed,
+            (_, false) => VersionCheck::Unconfirmed,
+        }
+    }
 }
--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -249,6 +249,11 @@
         self.read_ended.notify(usize::MAX);
     }
 
+    /// Returns whether the known targets include all that the store knew at `since`.
+    pub(crate) fn are_targets_confirmed(&self, since: Instant) -> bool {
+        self.lock().confirmed_at >= Some(since)
+    }
+
     /// Records that targets may have come and gone without this instance having heard of them.
     pub fn record_gap(&self, cx: &Shared) {
         self.lock().history.record_gap(cx.clock.now());
