Tell one holder of a stream's origin while only one version seems to serve

Two messages for each stream would cost a daemon that runs items about 520 messages and 16 KB a second at the size of two years from now, more than the 13 KB that control may use. While an instance knows of one version, one holder is enough: if it is lost, the confirmed list of targets tells the version. While several serve, two are told as before.

--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -1,8 +1,8 @@
 //! Which software version began a caller's stream, so that the stream goes on only at that version, whichever instance the caller
 //! takes it up at.
 //!
-//! Each instance tells two daemons that run items which version began a stream; these daemons usually survive the loss of all instances
-//! that admit callers, and they answer while the key-value service does not. Which versions have served lately is also stored in the
+//! Each instance tells a daemon that runs items which version began a stream, and a second one while several versions serve; these
+//! daemons usually survive the loss of all instances that admit callers, and they answer while the key-value service does not. Which versions have served lately is also stored in the
 //! key-value service: an instance that starts cannot see which version has just left.
 
 use std::{
@@ -144,16 +144,20 @@
         }
         drop(state);
         for (service, stream, version) in shared {
-            tell_holders(cx, &service, stream, &version);
+            tell_holders(cx, &service, stream, &version, usize::MAX);
         }
     }
 
     /// Records that a target of a version sent the first event of a stream.
     pub fn record(&self, cx: &Shared, service: &QualifiedName, stream: StreamId, version: &Name) {
         let now = cx.clock.now();
-        self.lock().origins.record(now, stream, service.clone(), version.clone());
-        // Another instance may know of versions that this one has not heard of yet.
-        tell_holders(cx, service, stream, version);
+        let mut state = self.lock();
+        state.origins.record(now, stream, service.clone(), version.clone());
+        // Another instance may know of versions that this one has not heard of yet. While it seems that there is only one, a second
+        // holder is not worth its messages: if the first one is lost, the list of targets tells the version.
+        let copies = if state.history.is_mixed(service, now) { usize::MAX } else { 1 };
+        drop(state);
+        tell_holders(cx, service, stream, version, copies);
     }
 
     /// Records the origin of a stream that a peer reports.
@@ -388,10 +392,17 @@
     cx.item_runners().first() == Some(&cx.settings.instance)
 }
 
-fn tell_holders(cx: &Shared, service: &QualifiedName, stream: StreamId, version: &Name) {
+/// Tells the first `copies` of the daemons that keep the origin of a stream.
+fn tell_holders(
+    cx: &Shared,
+    service: &QualifiedName,
+    stream: StreamId,
+    version: &Name,
+    copies: usize,
+) {
     let Some(peers) = cx.peers.get() else { return };
-    for holder in holders(&cx.item_runners(), stream) {
-        peers.send_origin(&holder, ServiceId::of(service), stream, version);
+    for holder in holders(&cx.item_runners(), stream).iter().take(copies) {
+        peers.send_origin(holder, ServiceId::of(service), stream, version);
     }
 }
 
