Treat a success without a length and without a byte as lost

A target that ends after the head of an answer without a length leaves the bytes of an empty answer. Callers got a 200 with an empty body that was framed as whole. A broken stream whose continuation ended that way was complete after the events so far, and an item was listed as completed with an empty text or with the first events alone.

Now such a success fails as EmptyBody, which counts as a lost answer: another target is tried if the request may run again, and a stream continues after its last event. Failures keep their status, which their head states. A target that is asked to go on after the last event, and frames by the end of the connection, sends the same bytes if it has nothing left; asking again would never end, so an item starts anew then.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -269,8 +269,7 @@
         ReadOutcome::Broken(e) => {
             let last_event = {
                 let mut output = output.lock();
-                match StreamError::is_limit_in(&e) {
-                    // A stream without an end is a fault of the target, so none of its output is kept.
+                match starts_anew_after(&e) {
                     true => *output = EventData::default(),
                     false => output.discard_partial(),
                 }
@@ -295,6 +294,13 @@
     }
 }
 
+/// Returns whether the output so far is dropped after an error.
+fn starts_anew_after(error: &io::Error) -> bool {
+    // A stream without an end is a fault of the target, so none of its output is kept. If a target sends nothing after the last event, and
+    // no length, it may have nothing left to send or have ended; asking again cannot tell, and a run from the start can.
+    StreamError::is_limit_in(error) || Failure::from_io(error) == Some(&Failure::EmptyBody)
+}
+
 fn millis_since(cx: &Shared, started: Timestamp) -> u64 {
     cx.clock.now().since(started).as_millis() as u64
 }
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -197,7 +197,10 @@
 pub(crate) fn failure_cause(failure: Option<&Failure>) -> FailureCause {
     match failure {
         Some(
-            Failure::Io(_) | Failure::ClosedBeforeAnswer | Failure::Body(BodyError::Truncated),
+            Failure::Io(_)
+            | Failure::ClosedBeforeAnswer
+            | Failure::EmptyBody
+            | Failure::Body(BodyError::Truncated),
         )
         | None => FailureCause::ConnectionLost,
         Some(_) => FailureCause::BadAnswer,
--- a/crates/http-edge/src/client/answer.rs
+++ b/crates/http-edge/src/client/answer.rs
@@ -16,6 +16,15 @@
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
+/// What an exchange determines for the body of its answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct BodyTerms {
+    /// Whether the connection can carry another exchange after the body.
+    pub(super) reusable: bool,
+    /// Whether a body without bytes is truncated.
+    pub(super) awaits_content: bool,
+}
+
 /// Reads one body. Dropping it before the end closes the connection.
 pub(super) struct AnswerBody {
     inner: Arc<Inner>,
@@ -24,6 +33,8 @@
     request_id: String,
     decoder: BodyDecoder,
     reusable: bool,
+    /// Set while the body has no byte and needs one to be complete.
+    awaits_content: bool,
     timer: GapTimer,
     /// Whether a read is pending. The gap is measured only then, because the time between two reads is spent by the
     /// reader and not by the target.
@@ -37,7 +48,7 @@
         conn: Connection,
         request_id: &str,
         decoder: BodyDecoder,
-        reusable: bool,
+        terms: BodyTerms,
     ) -> Self {
         let timer = GapTimer::new(Some(inner.settings.silence_after), inner.settings.gap_timeout);
         let mut body = Self {
@@ -45,7 +56,8 @@
             conn: Some(conn),
             request_id: request_id.to_owned(),
             decoder,
-            reusable,
+            reusable: terms.reusable,
+            awaits_content: terms.awaits_content,
             timer,
             read_pending: false,
             failure: None,
@@ -78,6 +90,7 @@
                 return Poll::Ready(Ok(done.produced));
             }
             if done.produced > 0 {
+                self.awaits_content = false;
                 return Poll::Ready(Ok(done.produced));
             }
             let mut chunk = [0; READ_CHUNK_BYTES];
@@ -86,6 +99,9 @@
                 Poll::Ready(Ok(0)) if conn.is_closed_by_owner() => {
                     return Poll::Ready(Err(Failure::ClosedByOwner));
                 }
+                Poll::Ready(Ok(0)) if self.awaits_content => {
+                    return Poll::Ready(Err(Failure::EmptyBody));
+                }
                 Poll::Ready(Ok(0)) => {
                     self.decoder.end_of_input()?;
                     self.finish();
--- a/crates/http-edge/src/client/error.rs
+++ b/crates/http-edge/src/client/error.rs
@@ -55,6 +55,9 @@
     /// The body of the answer is not valid or not complete.
     #[error("the answer is not valid: {0}")]
     Body(#[from] BodyError),
+    /// A success without a length ended before the first byte of its body.
+    #[error("the target closed the connection before the first byte of an answer without a length")]
+    EmptyBody,
     /// The answer carries the id of another request, or none.
     #[error("the answer carries the request id {found:?} and not {expected:?}")]
     RequestId {
@@ -76,7 +79,7 @@
             Self::Io(kind) => kind,
             Self::GapTimeout | Self::FirstByteTimeout => io::ErrorKind::TimedOut,
             Self::ClosedByOwner => io::ErrorKind::ConnectionAborted,
-            Self::Body(BodyError::Truncated) => io::ErrorKind::UnexpectedEof,
+            Self::EmptyBody | Self::Body(BodyError::Truncated) => io::ErrorKind::UnexpectedEof,
             _ => io::ErrorKind::InvalidData,
         };
         io::Error::new(kind, self)
--- a/crates/http-edge/src/client/exchange.rs
+++ b/crates/http-edge/src/client/exchange.rs
@@ -15,7 +15,7 @@
 use futures::future::poll_fn;
 use http_types::{Body, Method, Request, Response};
 
-use super::answer::AnswerBody;
+use super::answer::{AnswerBody, BodyTerms};
 use super::error::{Failure, Progress, SendError};
 use super::head::{self, AnswerHead, KeepAliveTimeout, Parsed};
 use super::pool::Connection;
@@ -97,9 +97,14 @@
     };
     conn.keep_alive_timeout = res.ext().get::<KeepAliveTimeout>().map(|it| it.0);
     res.ext_mut().insert(info);
-    let reusable = keep_alive && done.request_complete && framing != Framing::UntilClose;
+    let terms = BodyTerms {
+        reusable: keep_alive && done.request_complete && framing != Framing::UntilClose,
+        // A target that ends after its head leaves the same bytes as an empty body without a length. A failure says what it has to say
+        // in its head.
+        awaits_content: framing == Framing::UntilClose && res.status().is_success(),
+    };
     let decoder = BodyDecoder::new(framing, inner.settings.max_body_bytes);
-    let body = AnswerBody::new(Arc::clone(inner), conn, request_id, decoder, reusable);
+    let body = AnswerBody::new(Arc::clone(inner), conn, request_id, decoder, terms);
     let len = match framing {
         Framing::Length(0) => return Ok(res),
         Framing::Length(len) => usize::try_from(len).ok(),
--- a/crates/http-edge/src/client/mod.rs
+++ b/crates/http-edge/src/client/mod.rs
@@ -143,7 +143,7 @@
     /// Time from the start of sending to the head of the answer.
     pub time_to_head: Duration,
     /// Whether the answer has no announced length and ends when the connection closes. A truncated answer then looks
-    /// complete.
+    /// complete, unless it is a success without any byte of a body or the connection is reset.
     pub ends_with_connection: bool,
 }
 
