Split the rate limiter's borrowing and refusals from its decisions

Requests and returns of loans move to limiter/borrowing.rs, the refusals of waiting callers to limiter/refusals.rs, each with its constants; no code changes.

loans.rs (10 tests), versions.rs, dispatch_warm_up.rs and the unit tests pass.

--- a/crates/policy/src/rate/limiter.rs
+++ b/crates/policy/src/rate/limiter.rs
@@ -1,6 +1,12 @@
-//! The rate limiter: decides on requests, borrows from peers and, in `lending`, lends to them.
+//! The rate limiter: decides on requests with the tokens of this instance and of loans.
+//!
+//! - `borrowing`: requests and returns loans.
+//! - `lending`: lends to peers.
+//! - `refusals`: refuses waiting callers.
 
+mod borrowing;
 mod lending;
+mod refusals;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -8,45 +14,26 @@
 };
 
 use fleet::Document;
-use rand::{Rng as _, seq::SliceRandom};
+use rand::Rng as _;
 use stdx::{Name, Rng, Timestamp};
 
 use crate::rate::{
     AccountId, AcquireOutcome, Holdings, Inputs, LENDER_HOLD, MAX_WAIT, RateAction, RateMessage,
-    RequestId, Stats, WaiterId,
-    borrower::{Borrower, LenderShare, Waiter},
+    Stats, WaiterId,
+    borrower::{Borrower, Waiter},
     lender::{Lender, PeerIndex},
     share::Share,
     tokens::{Part, Rate, Tokens},
     traffic::TrafficBudget,
 };
 
-/// The demand from which on tokens are prefetched; below it, one loan per request costs fewer messages.
-const PREFETCH_DEMAND_PER_S: f64 = 10.0;
-/// How far ahead expected demand is covered by loans; a longer time would let the tokens lapse or keep them from other
-/// instances.
-const PREFETCH_LOOKAHEAD: Duration = Duration::from_millis(200);
-/// With a smaller burst, loans are requested so that the levels of lenders become even: the shares often run empty, so
-/// tokens that overflow at one lender would soon be missing.
-const EQUALIZE_BELOW_BURST: Tokens = Tokens::ONE.times(100);
-/// With a smaller burst, spent loans are closed at once: a loan reduces the capacity of its lender, which cannot refill
-/// beyond it.
-const PROMPT_CLOSE_BELOW_BURST: Tokens = Tokens::ONE.times(5);
 /// How long a peer is not asked after it failed to answer in time, doubled each time up to the maximum.
 const LATE_PEER_BACKOFF_MIN: Duration = Duration::from_millis(250);
 const LATE_PEER_BACKOFF_MAX: Duration = Duration::from_secs(4);
 /// The retry time given to a refused caller if the account is unknown or has no rate.
 const RETRY_AFTER_WITHOUT_RATE: Duration = Duration::from_secs(60);
-/// The retry time given to a refused caller if no instance that holds a share can be asked.
-const RETRY_AFTER_WITHOUT_LENDERS: Duration = Duration::from_secs(1);
-/// The time within which refills are counted for waiting callers; callers that would wait longer are refused at once.
-const REFILL_LOOKAHEAD: Duration = Duration::from_millis(150);
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(1);
 /// The time after the start of an instance within which it takes back the slots of its earlier incarnation.
 const HEAD_START_WINDOW: Duration = Duration::from_secs(5);
-/// How long after the start of an instance its callers wait for slots whose holder is not known yet, instead of being
-/// refused. It covers a few calls to a slow store; after that an outage is more likely.
-const SLOT_DISCOVERY_TIME: Duration = Duration::from_secs(2);
 /// The maximum interval between ticks while callers wait.
 const ACTIVE_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -378,144 +365,6 @@
         self.return_loans(cx, account);
     }
 
-    /// Requests loans for waiters and for expected demand, if lenders are estimated to have enough.
-    fn request_loans(&mut self, cx: &mut Context, account: AccountId, lenders: &[LenderShare]) {
-        let now = cx.now;
-        let (Some(share), Some(borrower)) =
-            (self.shares.get(&account), self.borrowers.get_mut(&account))
-        else {
-            return;
-        };
-        let available = share.level() + borrower.borrowed(now) + borrower.expected_on_time(now);
-        let waiting = Tokens::ONE.times(borrower.waiters.len() as u64);
-        let ahead = prefetch_amount(now, share, borrower, own_part(&self.own_slots, self.slots));
-        let is_urgent = available < waiting;
-        if !is_urgent && available.times(2) >= ahead {
-            return;
-        }
-        let obtainable: Tokens = lenders
-            .iter()
-            .filter(|it| borrower.may_ask(now, it))
-            .map(|it| borrower.estimated_level(now, it))
-            .sum();
-        let first = Tokens::ONE.min(waiting).saturating_sub(available);
-        if obtainable < first {
-            return;
-        }
-        let need = (waiting + ahead).saturating_sub(available);
-        let plan = borrower.plan_requests(now, lenders, need, share.burst() < EQUALIZE_BELOW_BURST);
-        for planned in plan {
-            let request = RequestId(self.next_request);
-            let closed = borrower.take_closed(planned.peer);
-            let message = RateMessage::LoanRequest { account, request, want: planned.want, closed };
-            if !self.traffic.try_take_request(now, message.wire_bytes()) {
-                self.stats.suppressed += 1;
-                continue;
-            }
-            self.next_request = self.next_request.wrapping_add(1);
-            borrower.record_sent(now, planned, request);
-            let to = self.peers[planned.peer as usize].name.clone();
-            cx.send(&mut self.stats, to, message);
-        }
-    }
-
-    /// Refuses waiters that cannot get a token in time.
-    fn refuse_waiters(&mut self, cx: &mut Context, account: AccountId, lenders: &[LenderShare]) {
-        let now = cx.now;
-        let (Some(share), Some(borrower)) =
-            (self.shares.get(&account), self.borrowers.get_mut(&account))
-        else {
-            return;
-        };
-        let Some(last) = borrower.waiters.back() else { return };
-        let part = own_part(&self.own_slots, self.slots);
-        let unknown = match now < self.started_at + SLOT_DISCOVERY_TIME {
-            true => share.burst().part(unknown_part(&self.own_slots, &self.peers, self.slots)),
-            false => Tokens::ZERO,
-        };
-        let available = share.level() + borrower.borrowed(now);
-        // Lenders may lend less than estimated, so all waiters are checked again after each answer.
-        let refill_time = last.deadline.since(now).min(REFILL_LOOKAHEAD);
-        let refill = share.rate().part(part).over(refill_time)
-            + lenders.iter().map(|it| borrower.estimated_refill(now, it, refill_time)).sum();
-        let at_lenders: Tokens = lenders.iter().map(|it| borrower.estimated_level(now, it)).sum();
-        let servable =
-            (available + borrower.expected_before_deadline(now) + at_lenders + refill + unknown)
-                .whole() as usize;
-        let reachable_per_s =
-            lenders.iter().fold(share.rate().part(part).over(Duration::from_secs(1)), |sum, it| {
-                sum + it.rate.over(Duration::from_secs(1))
-            });
-        let reachable_rate = Rate::per_second(reachable_per_s.as_f64());
-        let without_lenders = match share.rate().is_zero() {
-            true => RETRY_AFTER_WITHOUT_RATE,
-            false => RETRY_AFTER_WITHOUT_LENDERS,
-        };
-        let retry_after = |rank: usize| {
-            let deficit = Tokens::ONE
-                .times(rank as u64 + 1)
-                .saturating_sub(available + borrower.expected_on_time(now) + at_lenders);
-            reachable_rate.time_for(deficit).unwrap_or(without_lenders).max(RETRY_AFTER_MIN)
-        };
-        let mut kept = 0;
-        let mut refused = Vec::new();
-        for (rank, waiter) in borrower.waiters.iter().enumerate() {
-            if kept < servable && waiter.deadline > now {
-                kept += 1;
-            } else {
-                refused.push((waiter.id, retry_after(rank)));
-            }
-        }
-        borrower.waiters.retain(|it| !refused.iter().any(|(id, _)| *id == it.id));
-        self.stats.refused += refused.len() as u64;
-        let refusals = refused
-            .into_iter()
-            .map(|(waiter, retry_after)| RateAction::Refuse { waiter, retry_after });
-        cx.actions.extend(refusals);
-    }
-
-    /// Returns unspent loans that are not needed on this instance.
-    fn return_loans(&mut self, cx: &mut Context, account: AccountId) {
-        let now = cx.now;
-        let Some(borrower) = self.borrowers.get_mut(&account) else { return };
-        let is_in_demand =
-            borrower.demand.per_second(now) >= PREFETCH_DEMAND_PER_S && !borrower.is_quiet(now);
-        if borrower.waiters.is_empty() && !borrower.awaits_answer(now) && !is_in_demand {
-            borrower.close_all_loans();
-        }
-        let burst = self.shares.get(&account).map_or(Tokens::ZERO, Share::burst);
-        for peer in borrower.returns_due(burst < PROMPT_CLOSE_BELOW_BURST) {
-            let message = RateMessage::LoanReturn { account, closed: borrower.take_closed(peer) };
-            if self.traffic.try_take_answer(now, message.wire_bytes()) {
-                let to = self.peers[peer as usize].name.clone();
-                cx.send(&mut self.stats, to, message);
-            }
-        }
-        if borrower.is_idle(now) {
-            self.borrowers.remove(&account);
-        }
-    }
-
-    /// Returns the shares of the peers that may be asked, in random order, so that borrowers do not all choose alike.
-    ///
-    /// Peers that were late are left out as long as another peer with slots was not. If all were late, all are included: a
-    /// slow answer is better for a caller than a refusal without one.
-    fn lender_shares(&mut self, now: Timestamp, account: AccountId) -> Vec<LenderShare> {
-        let Some(share) = self.shares.get(&account) else { return Vec::new() };
-        let of = self.slots;
-        let all_late = self.peers.iter().all(|it| it.slots == 0 || it.backoff_until > now);
-        let mut lenders: Vec<_> = (0..)
-            .zip(&self.peers)
-            .filter(|(_, it)| it.slots > 0 && (all_late || it.backoff_until <= now))
-            .map(|(peer, it)| {
-                let part = Part { held: it.slots, of };
-                LenderShare { peer, rate: share.rate().part(part), burst: share.burst().part(part) }
-            })
-            .collect();
-        lenders.shuffle(&mut self.rng);
-        lenders
-    }
-
     fn index_of_peer(&mut self, name: &Name) -> PeerIndex {
         if let Some(index) = self.peer_index.get(name) {
             return *index;
@@ -545,23 +394,6 @@
     }
 }
 
-/// Returns the tokens that the account is expected to need on this instance within [`PREFETCH_LOOKAHEAD`] beyond the
-/// refill of its share.
-fn prefetch_amount(now: Timestamp, share: &Share, borrower: &Borrower, part: Part) -> Tokens {
-    if borrower.demand.per_second(now) < PREFETCH_DEMAND_PER_S || borrower.is_quiet(now) {
-        return Tokens::ZERO;
-    }
-    let demand = Tokens::from_f64(borrower.demand.expected_over(now, PREFETCH_LOOKAHEAD));
-    let admissible = demand.min(share.rate().over(PREFETCH_LOOKAHEAD));
-    admissible.saturating_sub(share.rate().part(part).over(PREFETCH_LOOKAHEAD))
-}
-
-/// Returns the part of the slots that neither this instance nor a known peer holds.
-fn unknown_part(own_slots: &[Timestamp], peers: &[Peer], of: u32) -> Part {
-    let held_by_peers = peers.iter().map(|it| it.slots).sum();
-    Part { held: of.saturating_sub(own_slots.len() as u32).saturating_sub(held_by_peers), of }
-}
-
 fn own_part(own_slots: &[Timestamp], of: u32) -> Part {
     Part { held: own_slots.len() as u32, of }
 }
