Split the state of the control thread by job

The admission of requests, the rate limiter with its slots, the application of documents and targets and the actions of the dispatcher move to modules below state; two arms of the event handler become methods. Nothing else changes.

drain.rs (4 tests), membership.rs (1), online.rs (8) and versions.rs (8) pass on it.

--- a/crates/borageshed/src/control/state.rs
+++ b/crates/borageshed/src/control/state.rs
@@ -1,4 +1,14 @@
 //! The decision logic of the control thread, independent of threads.
+//!
+//! - `actions`: performs the actions of the dispatcher.
+//! - `admission`: takes a token of the account for each request, and queues it.
+//! - `rate`: the rate limiter and the slots of this instance.
+//! - `targets`: applies documents and lists of targets.
+
+mod actions;
+mod admission;
+mod rate;
+mod targets;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -7,18 +17,12 @@
 };
 
 use fleet::{Document, QualifiedName};
-use policy::{
-    dispatch::{self, Action, Dispatcher, Execution, Reason, Refusal, target_infos},
-    rate::{AcquireOutcome, Holdings, LENDER_HOLD, RateAction, RateLimiter, WaiterId},
-    slots::{self, DEFAULT_SLOT_VALIDITY, SlotManager},
-};
-use slog::{Logger, debug, info, warn};
+use policy::dispatch::{self, Dispatcher};
+use slog::{Logger, info};
 use stdx::{Name, Timestamp, rng};
 
-use super::{
-    AdmittingInstance, ControlConfig, ControlEvent, Directive, Effect, RateRefusal,
-    SubmittedRequest,
-};
+use self::rate::RateState;
+use super::{AdmittingInstance, ControlConfig, ControlEvent, Directive, Effect, SubmittedRequest};
 use crate::status::{ControlStatus, LoadStatus, ServiceStatus};
 
 /// How long after the start of the process batch requests leave room for the requests of other instances. Links to the others
@@ -55,21 +59,6 @@
     last_tick: Timestamp,
 }
 
-struct RateState {
-    /// The time from which requests are admitted: by then, loans of an earlier process of this instance have expired.
-    admits_from: Timestamp,
-    limiter: RateLimiter,
-    slots: SlotManager,
-    holdings: Holdings,
-}
-
-impl RateState {
-    /// Returns whether requests can be admitted: with this instance's slots, or with loans from peers that hold slots.
-    fn is_admitting(&self, now: Timestamp) -> bool {
-        now >= self.admits_from && !(self.holdings.own.is_empty() && self.holdings.peers.is_empty())
-    }
-}
-
 impl State {
     /// Creates the state of a daemon without a document.
     pub fn new(cfg: ControlConfig, log: Logger, effects: async_channel::Sender<Effect>) -> Self {
@@ -130,28 +119,10 @@
                 self.runners = runners;
                 self.report_instances(now);
             }
-            ControlEvent::Registry { services } => {
-                let removed: Vec<QualifiedName> = self
-                    .registry
-                    .iter()
-                    .flat_map(BTreeMap::keys)
-                    .filter(|it| !services.contains_key(*it))
-                    .cloned()
-                    .collect();
-                for service in removed {
-                    self.set_targets(now, &service, Vec::new());
-                }
-                self.registry = Some(services);
-                self.set_all_targets(now);
-            }
+            ControlEvent::Registry { services } => self.set_registry(now, services),
             ControlEvent::GetLoads(reply) => {
-                let loads = LoadStatus {
-                    in_flight: self.dispatcher.in_flight_loads(now),
-                    waiting: self.dispatcher.waiting_services(),
-                    batch_waiting: self.dispatcher.batch_waiting_services(),
-                };
                 // The receiver may have been dropped.
-                let _ = reply.try_send(loads);
+                let _ = reply.try_send(self.loads(now));
             }
             ControlEvent::Drain => {
                 if let Some(rate) = &mut self.rate {
@@ -195,40 +166,6 @@
         self.update_holdings(now);
     }
 
-    fn submit(&mut self, now: Timestamp, submitted: SubmittedRequest) {
-        let id = submitted.request.id;
-        let Some(rate) = &mut self.rate else {
-            let refusal = Refusal {
-                reason: Reason::NoTarget,
-                execution: Execution::NotRun,
-                retry_after: Duration::from_secs(1),
-            };
-            send_to_task(&submitted.directives, Directive::Refuse(refusal));
-            return;
-        };
-        let Some(account) = submitted.rate_account else {
-            self.enqueue(now, submitted);
-            return;
-        };
-        let (acquired, actions) = rate.limiter.acquire(now, account, WaiterId(id));
-        match acquired {
-            AcquireOutcome::Granted => self.enqueue(now, submitted),
-            AcquireOutcome::Waiting => {
-                self.waiting_for_token.insert(id, submitted);
-            }
-            AcquireOutcome::Refused { retry_after } => {
-                self.refuse_over_rate(now, &submitted, retry_after);
-            }
-        }
-        self.perform_rate_actions(now, actions);
-    }
-
-    fn enqueue(&mut self, now: Timestamp, submitted: SubmittedRequest) {
-        self.directive_senders.insert(submitted.request.id, submitted.directives);
-        let actions = self.dispatcher.submit(now, submitted.request);
-        self.perform_actions(actions);
-    }
-
     fn on_dispatch_event(&mut self, now: Timestamp, event: dispatch::Event) {
         match &event {
             dispatch::Event::CallerGone { id } => {
@@ -247,12 +184,6 @@
         self.perform_actions(actions);
     }
 
-    fn cancel_token_wait(&mut self, submitted: &SubmittedRequest) {
-        if let (Some(rate), Some(account)) = (&mut self.rate, submitted.rate_account) {
-            rate.limiter.cancel(account, WaiterId(submitted.request.id));
-        }
-    }
-
     fn on_peer_link(&mut self, now: Timestamp, peer: Name, up: bool) {
         info!(self.log, "peer link changed"; "peer" => %peer, "up" => up);
         self.on_dispatch_event(now, dispatch::Event::PeerLink { peer: peer.clone(), up });
@@ -267,245 +198,11 @@
         self.update_holdings(now);
     }
 
-    fn set_document(
-        &mut self,
-        now: Timestamp,
-        document: Arc<Document>,
-        withdrawn: Vec<(QualifiedName, Name)>,
-    ) {
-        let previous = self.document.replace(Arc::clone(&document));
-        match &mut self.rate {
-            Some(rate) => {
-                let actions = rate.limiter.set_document(now, &document);
-                self.perform_rate_actions(now, actions);
-            }
-            None => self.rate = Some(self.new_rate_state(now, &document)),
-        }
-        self.set_all_targets(now);
-        let removed = previous.iter().flat_map(|it| it.services.keys());
-        for name in removed.filter(|it| !document.services.contains_key(*it)) {
-            self.set_targets(now, name, Vec::new());
-        }
-        for (account, key) in withdrawn {
-            self.withdraw_key(now, account, key);
-        }
-    }
-
-    fn new_rate_state(&self, now: Timestamp, document: &Document) -> RateState {
-        let slots = SlotManager::new(
-            self.cfg.instance.clone(),
-            self.cfg.incarnation,
-            document.fleet.rate_slots,
-            DEFAULT_SLOT_VALIDITY,
-            rng::seeded(self.cfg.seed ^ 1),
-        );
-        let limiter = RateLimiter::new(now, document, rng::seeded(self.cfg.seed ^ 2))
-            .with_head_start(self.cfg.head_start)
-            .with_loan_bytes_per_s(self.cfg.loan_bytes_per_s);
-        RateState { admits_from: now + LENDER_HOLD, limiter, slots, holdings: Holdings::default() }
-    }
-
-    fn set_all_targets(&mut self, now: Timestamp) {
-        let Some(document) = self.document.clone() else { return };
-        let registry = self.registry.clone();
-        for (name, service) in &document.services {
-            let targets = match &registry {
-                Some(registry) => registry.get(name).cloned().unwrap_or_default(),
-                None => target_infos(service),
-            };
-            self.set_targets(now, name, targets);
-        }
-    }
-
-    fn set_targets(
-        &mut self,
-        now: Timestamp,
-        service: &QualifiedName,
-        targets: Vec<dispatch::TargetInfo>,
-    ) {
-        let event = dispatch::Event::TargetsChanged { service: service.clone(), targets };
-        let actions = self.dispatcher.on_event(now, event);
-        self.perform_actions(actions);
-    }
-
-    fn withdraw_key(&mut self, now: Timestamp, account: QualifiedName, key: Name) {
-        let uses_key = |it: &SubmittedRequest| {
-            it.request.account == account && it.request.key.as_ref() == Some(&key)
-        };
-        let ids: Vec<u64> = self
-            .waiting_for_token
-            .iter()
-            .filter(|(_, it)| uses_key(it))
-            .map(|(id, _)| *id)
-            .collect();
-        for id in ids {
-            let Some(submitted) = self.waiting_for_token.remove(&id) else { continue };
-            self.cancel_token_wait(&submitted);
-            let refusal = Refusal {
-                reason: Reason::KeyWithdrawn,
-                execution: Execution::NotRun,
-                retry_after: Duration::from_secs(1),
-            };
-            send_to_task(&submitted.directives, Directive::Refuse(refusal));
-        }
-        let event = dispatch::Event::KeyWithdrawn { account, key: Some(key) };
-        let actions = self.dispatcher.on_event(now, event);
-        self.perform_actions(actions);
-    }
-
-    /// Returns the instances that admit requests of callers, including this one if it does.
-    fn admitting_instances(&self) -> BTreeMap<Name, AdmittingInstance> {
-        let mut admitting = self.admitting.clone();
-        if self.cfg.admits_callers {
-            let (failure_domain, capacity) = (self.cfg.failure_domain.clone(), self.cfg.capacity);
-            admitting
-                .insert(self.cfg.instance.clone(), AdmittingInstance { failure_domain, capacity });
-        }
-        admitting
-    }
-
-    fn report_instances(&mut self, now: Timestamp) {
-        let admitting = self.admitting_instances().into_iter();
-        let instances = dispatch::Instances {
-            admitting: admitting.map(|(name, it)| (name, it.failure_domain)).collect(),
-            leaving: self.peers_leaving.clone(),
-            runners: self.runners.clone(),
-        };
-        self.on_dispatch_event(now, dispatch::Event::Instances(instances));
-    }
-
-    fn tick_slots(&mut self, now: Timestamp) {
-        if !self.cfg.admits_callers {
-            return;
-        }
-        let mut admitting = self.admitting_instances();
-        // A peer that shuts down releases its slots at once, before the list of registered daemons shows it.
-        admitting.retain(|it, _| !self.peers_leaving.contains(it));
-        let Some(rate) = &mut self.rate else { return };
-        let candidates = admitting.iter().map(|(name, it)| slots::Candidate {
-            name,
-            failure_domain: &it.failure_domain,
-            capacity: it.capacity,
-        });
-        for action in rate.slots.tick(now, &slots::holders(candidates)) {
-            self.send_effect(Effect::Slot(action));
-        }
-    }
-
-    fn update_holdings(&mut self, now: Timestamp) {
-        let Some(rate) = &mut self.rate else { return };
-        let holdings = rate.slots.holdings(now, &self.peers_up);
-        if holdings != rate.holdings {
-            debug!(self.log, "rate slots changed"; "held" => holdings.own.len());
-            rate.limiter.set_holdings(now, &holdings);
-            rate.holdings = holdings;
-        }
-    }
-
-    fn perform_rate_actions(&mut self, now: Timestamp, actions: Vec<RateAction>) {
-        for action in actions {
-            match action {
-                RateAction::Send { to, message } => {
-                    self.send_effect(Effect::SendRate { to, message })
-                }
-                RateAction::Grant { waiter } => {
-                    if let Some(submitted) = self.waiting_for_token.remove(&waiter.0) {
-                        self.enqueue(now, submitted);
-                    }
-                }
-                RateAction::Refuse { waiter, retry_after } => {
-                    if let Some(submitted) = self.waiting_for_token.remove(&waiter.0) {
-                        self.refuse_over_rate(now, &submitted, retry_after);
-                    }
-                }
-            }
-        }
-    }
-
-    fn refuse_over_rate(
-        &self,
-        now: Timestamp,
-        submitted: &SubmittedRequest,
-        retry_after: Duration,
-    ) {
-        let (Some(rate), Some(account)) = (&self.rate, submitted.rate_account) else { return };
-        let inputs = rate.limiter.inputs(now, account);
-        send_to_task(
-            &submitted.directives,
-            Directive::OverRate(RateRefusal { retry_after, inputs }),
-        );
-    }
-
-    fn perform_actions(&mut self, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Dispatch { id, target, version, attempt } => {
-                    self.send_directive(id, Directive::Dispatch { target, version, attempt })
-                }
-                Action::CancelBatch { id } => self.send_directive(id, Directive::Yield),
-                Action::Cancel { id } => self.send_directive(id, Directive::Cancel),
-                Action::Refuse { id, refusal } => {
-                    self.send_directive(id, Directive::Refuse(refusal));
-                    self.directive_senders.remove(&id);
-                }
-                Action::Probe { service, target } => {
-                    self.send_effect(Effect::Probe { service, target })
-                }
-                Action::HealthChanged { service, target, health, in_flight } => info!(
-                    self.log, "target health changed";
-                    "service" => %service, "target" => %target, "health" => ?health, "in_flight" => in_flight
-                ),
-                Action::LimitChanged { service, target, limit } => info!(
-                    self.log, "target limit changed";
-                    "service" => %service, "target" => %target, "limit_per_s" => limit.map(|it| it.0 as f64 / 1_000.0)
-                ),
-                Action::ShareLimit { to, news } => {
-                    self.send_effect(Effect::ShareLimit { to, news })
-                }
-                Action::ShareLoad => self.send_effect(Effect::ShareLoad),
-                Action::ShareVerdict { fingerprint } => {
-                    self.send_effect(Effect::ShareVerdict { fingerprint })
-                }
-                Action::RepeatVerdict { to, fingerprint } => {
-                    self.send_effect(Effect::RepeatVerdict { to, fingerprint })
-                }
-                Action::LiftVerdict { fingerprint } => {
-                    self.send_effect(Effect::LiftVerdict { fingerprint })
-                }
-                Action::ShareSuspicion(suspicion) => {
-                    self.send_effect(Effect::ShareSuspicion(suspicion))
-                }
-                Action::SharePartCrash { target, parts } => {
-                    self.send_effect(Effect::SharePartCrash { target, parts })
-                }
-                Action::SharePartVerdict { part, lifetime } => {
-                    self.send_effect(Effect::SharePartVerdict { part, lifetime })
-                }
-                Action::ShareClearedParts(parts) => {
-                    self.send_effect(Effect::ShareClearedParts(parts))
-                }
-                Action::LiftPartVerdict { part } => {
-                    self.send_effect(Effect::LiftPartVerdict { part })
-                }
-                Action::ShareClaim { to, claim } => {
-                    self.send_effect(Effect::ShareClaim { to, claim })
-                }
-            }
-        }
-    }
-
-    fn send_directive(&self, id: u64, directive: Directive) {
-        if let Some(directives) = self.directive_senders.get(&id) {
-            send_to_task(directives, directive);
-        }
-    }
-
-    fn send_effect(&self, effect: Effect) {
-        if self.effects.try_send(effect).is_err() {
-            warn!(
-                self.log,
-                "the daemon is stopping; an action of the control thread is not performed"
-            );
+    fn loads(&self, now: Timestamp) -> LoadStatus {
+        LoadStatus {
+            in_flight: self.dispatcher.in_flight_loads(now),
+            waiting: self.dispatcher.waiting_services(),
+            batch_waiting: self.dispatcher.batch_waiting_services(),
         }
     }
 
@@ -526,8 +223,3 @@
         }
     }
 }
-
-/// Sends a directive to a request task. Errors are ignored, because a task that ends reports that by itself.
-fn send_to_task(directives: &async_channel::Sender<Directive>, directive: Directive) {
-    let _ = directives.try_send(directive);
-}
