Build calls from one set of defaults

The requests of model services, plain services and platform callers and the items of both kinds of batch spelt out the same twenty members of Call. Call::new holds the defaults, and each place names only what differs. Items of jobs with inline items are left as they are.

--- a/crates/borageshed/src/api/inference.rs
+++ b/crates/borageshed/src/api/inference.rs
@@ -5,7 +5,6 @@
 use fleet::{QualifiedName, names::ResolveError};
 use http_edge::problem::{Execution, Problem, ProblemKind};
 use http_types::{Method, Response};
-use policy::dispatch::Class;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use stdx::Name;
@@ -14,7 +13,7 @@
 use super::{Request, Result, caller, identity, into_answer, read_body};
 use crate::{
     in_force::InForce,
-    online::{self, Call, Message, Resumption, UNLIMITED_ATTEMPTS},
+    online::{self, Call, Message},
 };
 
 /// The number of output tokens assumed for a request that does not limit them.
@@ -62,32 +61,21 @@
     let prepared = prepare(&identity.in_force, identity.origin(), body)
         .map_err(|it| it.with_request_id(&*request_id))?;
     let timeout = service_timeout(&identity.in_force, &prepared.service);
+    let message = Message {
+        method: Method::Post,
+        path: req.url().path().to_owned(),
+        headers: super::plain::forwarded_headers(&req),
+        body: prepared.body,
+    };
+    let account = identity.account.name.clone();
+    let (service, cost) = (prepared.service, prepared.cost);
     let call = Call {
-        request_id: request_id.clone(),
-        service: prepared.service,
-        account: identity.account.name.clone(),
         account_id: Some(identity.account.id),
         key: Some(identity.key_label()),
         weight: identity.weight,
-        class: Class::Online,
-        cost: prepared.cost,
         idempotent: true,
-        timeout,
-        objective: None,
-        deadline: None,
-        max_attempts: UNLIMITED_ATTEMPTS,
-        resumption: Resumption::SameTarget,
-        version: None,
-        first_attempt: None,
         prefix: Some(prepared.prefix),
-        shared_parts: Vec::new(),
-        harmless: false,
-        message: Arc::new(Message {
-            method: Method::Post,
-            path: req.url().path().to_owned(),
-            headers: super::plain::forwarded_headers(&req),
-            body: prepared.body,
-        }),
+        ..Call::new(request_id.clone(), service, account, cost, timeout, message)
     };
     into_answer(online::run(&cx, call, &caller).await, &request_id)
 }
--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -9,7 +9,7 @@
 };
 use http_types::{Response, StatusCode, headers::HeaderValue};
 use platform::ingress::{self, RequestHints};
-use policy::{dispatch::Class, versions::StreamId};
+use policy::versions::StreamId;
 use slog::info;
 use stdx::Name;
 use twox_hash::XxHash64;
@@ -191,20 +191,16 @@
         }
         _ => Resumption::Never,
     };
+    let account = identity.map_or_else(unauthenticated_account, |it| it.account.name.clone());
+    let request_id = match hints.request_id.is_empty() {
+        true => cx.request_id(),
+        false => hints.request_id,
+    };
     Call {
-        request_id: match hints.request_id.is_empty() {
-            true => cx.request_id(),
-            false => hints.request_id,
-        },
-        account: identity.map_or_else(unauthenticated_account, |it| it.account.name.clone()),
         account_id: identity.map(|it| it.account.id),
         key: identity.map(Identity::key_label),
         weight: identity.map_or(1, |it| it.weight),
-        service,
-        class: Class::Online,
-        cost,
         idempotent: route.call.is_idempotent(),
-        timeout,
         objective: Some(route.objective),
         deadline: Some(cx.clock.now() + timeout),
         max_attempts: route.max_attempts,
@@ -213,8 +209,7 @@
         first_attempt: hints.first_attempt,
         prefix: hints.shared_prefix.filter(|_| route.affinity),
         shared_parts: hints.shared_parts,
-        harmless: false,
-        message: Arc::new(message),
+        ..Call::new(request_id, service, account, cost, timeout, message)
     }
 }
 
--- a/crates/borageshed/src/api/plain.rs
+++ b/crates/borageshed/src/api/plain.rs
@@ -5,7 +5,6 @@
 use fleet::{Document, QualifiedName, Route, RouteMatch, Service};
 use http_edge::problem::{Execution, Problem, ProblemKind};
 use http_types::{Response, headers::HeaderValue};
-use policy::dispatch::Class;
 use stdx::Name;
 
 use super::{
@@ -14,7 +13,7 @@
 };
 use crate::{
     idempotency,
-    online::{self, Call, Message, Resumption, UNLIMITED_ATTEMPTS},
+    online::{self, Call, Message},
     shared::Shared,
 };
 
@@ -152,27 +151,15 @@
 ) -> Call {
     let unauthenticated_account =
         || QualifiedName::new(&resolved.id.origin, fleet::Kind::Account, "");
+    let account = identity.map_or_else(unauthenticated_account, |it| it.account.name.clone());
+    let (service, timeout) = (resolved.id.clone(), resolved.service.timeout());
+    let cost = cost(message.body.len());
     Call {
-        request_id: cx.request_id(),
-        service: resolved.id.clone(),
-        account: identity.map_or_else(unauthenticated_account, |it| it.account.name.clone()),
         account_id: identity.map(|it| it.account.id),
         key: identity.map(Identity::key_label),
         weight: identity.map_or(1, |it| it.weight),
-        class: Class::Online,
-        cost: cost(message.body.len()),
         idempotent: route.idempotent,
-        timeout: resolved.service.timeout(),
-        objective: None,
-        deadline: None,
-        max_attempts: UNLIMITED_ATTEMPTS,
-        resumption: Resumption::SameTarget,
-        version: None,
-        first_attempt: None,
-        prefix: None,
-        shared_parts: Vec::new(),
-        harmless: false,
-        message: Arc::new(message),
+        ..Call::new(cx.request_id(), service, account, cost, timeout, message)
     }
 }
 
--- a/crates/borageshed/src/batch_work/prepare.rs
+++ b/crates/borageshed/src/batch_work/prepare.rs
@@ -1,7 +1,5 @@
 //! Turns an item into a call of a service.
 
-use std::sync::Arc;
-
 use batch::{ItemRun, JobManifest};
 use fleet::{Kind, QualifiedName};
 use http_edge::problem::{Execution, Problem, ProblemKind};
@@ -12,7 +10,7 @@
 use crate::{
     api::{self, inference, plain},
     in_force::InForce,
-    online::{Call, Message, Resumption, UNLIMITED_ATTEMPTS},
+    online::{Call, Message},
 };
 
 /// The paths that model services serve.
@@ -66,27 +64,13 @@
         let prepared = inference::prepare(in_force, &account.origin, body)?;
         let timeout = inference::service_timeout(in_force, &prepared.service);
         let message = Message { method, path: url.to_owned(), headers, body: prepared.body };
+        let (service, cost) = (prepared.service, prepared.cost);
         return Ok(Call {
-            request_id,
-            service: prepared.service,
-            account,
-            account_id: None,
-            key: None,
             weight,
             class: Class::Batch,
-            cost: prepared.cost,
             idempotent: true,
-            timeout,
-            objective: None,
-            deadline: None,
-            max_attempts: UNLIMITED_ATTEMPTS,
-            resumption: Resumption::SameTarget,
-            version: None,
-            first_attempt: None,
             prefix: Some(prepared.prefix),
-            shared_parts: Vec::new(),
-            harmless: false,
-            message: Arc::new(message),
+            ..Call::new(request_id, service, account, cost, timeout, message)
         });
     }
     let (path, query) = url.split_once('?').map_or((url, None), |(path, it)| (path, Some(it)));
@@ -98,27 +82,14 @@
     }
     let path =
         query.map_or_else(|| resolved.path.to_owned(), |it| format!("{}?{it}", resolved.path));
+    let (service, timeout) = (resolved.id.clone(), resolved.service.timeout());
+    let cost = plain::cost(body.len());
+    let message = Message { method, path, headers, body };
     Ok(Call {
-        request_id,
-        service: resolved.id.clone(),
-        account,
-        account_id: None,
-        key: None,
         weight,
         class: Class::Batch,
-        cost: plain::cost(body.len()),
         idempotent: manifest.idempotent,
-        timeout: resolved.service.timeout(),
-        objective: None,
-        deadline: None,
-        max_attempts: UNLIMITED_ATTEMPTS,
-        resumption: Resumption::SameTarget,
-        version: None,
-        first_attempt: None,
-        prefix: None,
-        shared_parts: Vec::new(),
-        harmless: false,
-        message: Arc::new(Message { method, path, headers, body }),
+        ..Call::new(request_id, service, account, cost, timeout, message)
     })
 }
 
--- a/crates/borageshed/src/online/call.rs
+++ b/crates/borageshed/src/online/call.rs
@@ -93,6 +93,40 @@
 }
 
 impl Call {
+    /// Creates the call of an online request that counts against no rate, may run once, may run on any number of targets and has
+    /// no deadline for its whole answer; the target that began its stream continues it.
+    pub fn new(
+        request_id: String,
+        service: QualifiedName,
+        account: QualifiedName,
+        cost: u64,
+        timeout: Duration,
+        message: Message,
+    ) -> Self {
+        Self {
+            request_id,
+            service,
+            account,
+            account_id: None,
+            key: None,
+            weight: 1,
+            class: Class::Online,
+            cost,
+            idempotent: false,
+            timeout,
+            objective: None,
+            deadline: None,
+            max_attempts: UNLIMITED_ATTEMPTS,
+            resumption: Resumption::SameTarget,
+            version: None,
+            first_attempt: None,
+            prefix: None,
+            shared_parts: Vec::new(),
+            harmless: false,
+            message: Arc::new(message),
+        }
+    }
+
     /// Returns the request in the form that the dispatcher expects; its id is set on submission.
     pub fn dispatch_request(&self, now: Timestamp) -> dispatch::Request {
         let deadline = self.deadline.unwrap_or(now + self.timeout);
