Confirm the list of targets before a stream is taken up by its record

A caller that took a stream up at an instance that had been stopped got events of another version. The instance knew the version that began the stream, and chose a target by the list that it last read; that target had started again under its id and address with another version while the instance was stopped. A list was read only if it named no target of the version at all.

The list is now confirmed after each take-up has arrived, also if the version is recorded. If the store does not answer, the take-up goes on by the list at hand, as before.

Evidence: a_stream_is_not_taken_up_at_a_target_that_has_restarted_with_another_version, real processes, failed on the code before in 3 of 3 runs (4 of 8 take-ups were asked of the new version in each) and passes in 4 of 4 runs, with all callers answered. versions.rs passes.

--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -185,10 +185,8 @@
         let limit = MAX_SEARCH.min(taken_up.time_left / 2);
         let origin = self.find_origin(cx, taken_up, (arrived, limit)).await;
         let mut search = VersionSearch { origin, waited: Duration::ZERO };
-        if let Some(origin) = &search.origin
-            && !self.lock().history.is_serving(taken_up.service, &origin.version)
-        {
-            // The store may know a target of the version that this instance has not heard of yet.
+        if search.origin.is_some() {
+            // Targets may have started with the version, or again with another one, without this instance having heard of it.
             self.confirm_targets(cx, arrived, limit).await;
         }
         search.waited = arrived.elapsed();
--- a/crates/borageshed/tests/restarted_targets.rs
+++ b/crates/borageshed/tests/restarted_targets.rs
@@ -110,6 +110,44 @@
     Ok(())
 }
 
+/// Sends a request that takes up the stream that the attempt `first` began, after its third event; returns the status.
+async fn take_up(to: SocketAddr, id: &str, first: &str) -> u16 {
+    let request = call(STREAMS, id).header("host", HOST);
+    let request = request.header("last-event-id", "3").header("resumes", first);
+    request.send(to).await.expect("an answer").status
+}
+
+// Guards against a take-up at a target that has the version of the stream only in the list that a stopped instance last read.
+#[async_std::test]
+async fn a_stream_is_not_taken_up_at_a_target_that_has_restarted_with_another_version()
+-> io::Result<()> {
+    const COUNT: usize = 8;
+    let kept = Target::start(Behaviour::BreakAfter(3)).await?;
+    let restarted = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = site_with_known_targets(&kept, &restarted).await?;
+    let begun: Vec<String> = ids(&kept, false).into_iter().collect();
+    site.entry.pause();
+    restarted.restart();
+    operator::register_version(&site.platform, "t-2", restarted.address(), "v2");
+    let callers = site.callers();
+    let tries: Vec<_> = (0..COUNT)
+        .map(|n| {
+            let first = begun[n % begun.len()].clone();
+            task::spawn(async move { take_up(callers, &format!("up-{n}"), &first).await })
+        })
+        .collect();
+    task::sleep(Duration::from_secs(1)).await;
+    site.entry.resume();
+    let mut statuses = Vec::new();
+    for it in tries {
+        statuses.push(it.await);
+    }
+    assert_eq!(ids(&restarted, true), BTreeSet::new(), "the new version was asked: {statuses:?}");
+    let went_on = statuses.iter().filter(|it| **it == 200).count();
+    assert!(went_on * 2 >= COUNT, "{statuses:?}");
+    Ok(())
+}
+
 // Guards against the text of an item that is joined from two versions, because a target starts again with another one while the owner of
 // the job is cut off from the store.
 #[async_std::test]
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -133,11 +133,6 @@
         }
     }
 
-    /// Returns whether a target of the version serves, as of the last observation.
-    pub fn is_serving(&self, service: &QualifiedName, version: &Name) -> bool {
-        self.services.get(service).is_some_and(|it| it.current.contains(version))
-    }
-
     /// Returns the history in its stored form, as of `now`, which is `unix_ms` in Unix time.
     pub fn to_stored(&self, now: Timestamp, unix_ms: u64) -> StoredHistory {
         let services = self.services.iter().map(|(service, known)| {
