Take no stream up by a record whose target has another version now

A caller that took its stream up at an instance in touch with the store got the rest from another version than the one that began it. The instance that had placed the stream was cut off: it recorded the version of its last list for a target that had started again under its id with another one, and told the daemons that keep records. They were right to answer, but the record was not.

A record names the target as well, also in the messages StreamOrigin and OriginAnswer (an optional field; daemons without it still understand them). If the confirmed list names another version for that target, either one may have begun the stream, so its caller gets 503, which promises that nothing ran. A stream that the earlier process began before its id came back with another version is refused as well.

The fixture of restarted_targets.rs now waits until each target has begun a stream.

--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -12,7 +12,7 @@
     server::Caller,
 };
 use http_types::{Body, Request, Response, StatusCode};
-use policy::dispatch::FailureCause;
+use policy::{dispatch::FailureCause, versions::RecordedOrigin};
 use serde_json::json;
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
@@ -154,7 +154,7 @@
                     if !has_output && splitter.event_count() > events_before {
                         has_output = true;
                         self.admission.output_begun();
-                        self.record_origin(&source.version);
+                        self.record_origin(&source);
                     }
                     // After a resumption on any target, `self.target` may not be the target that sends the stream.
                     if !is_resumed {
@@ -230,10 +230,14 @@
         }
     }
 
-    /// Remembers which version began the stream, in case its caller takes it up. Called before the first event is delivered.
-    fn record_origin(&self, version: &Name) {
+    /// Remembers which target began the stream, in case its caller takes it up. Called before the first event is delivered.
+    fn record_origin(&self, source: &AnswerSource) {
         if matches!(self.call.resumption, Resumption::AnyTarget { .. }) {
-            self.cx.streams.record(&self.cx, &self.call.service, self.call.stream_id(), version);
+            let origin = RecordedOrigin {
+                version: source.version.clone(),
+                target: Some(source.target.clone()),
+            };
+            self.cx.streams.record(&self.cx, &self.call.service, self.call.stream_id(), &origin);
         }
     }
 
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -389,8 +389,8 @@
         }
         Message::StreamOrigin(origin) => cx.streams.on_origin(cx, origin),
         Message::OriginRequest(OriginRequest { id, stream }) => {
-            let version = cx.streams.known_version(StreamId(stream));
-            peers.answer_about_origin(&from, id, version);
+            let origin = cx.streams.known_origin(StreamId(stream));
+            peers.answer_about_origin(&from, id, origin);
         }
         Message::OriginAnswer(answer) => peers.inner.origins.on_answer(answer.id, answer),
         Message::JobAnswer(answer) => peers.inner.jobs.pending.on_answer(answer.id, answer),
--- a/crates/borageshed/src/peers/streams.rs
+++ b/crates/borageshed/src/peers/streams.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use peer::{Message, OriginAnswer, OriginRequest, StreamOrigin};
-use policy::versions::StreamId;
+use policy::versions::{RecordedOrigin, StreamId};
 use stdx::Name;
 
 use super::Peers;
@@ -12,8 +12,8 @@
 /// What a daemon says about the version that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginReply {
-    /// The stream began at this version.
-    Version(Name),
+    /// The stream began there.
+    Known(RecordedOrigin),
     /// The daemon does not know the stream.
     Unknown,
     /// The daemon did not answer, which says nothing about the stream.
@@ -26,10 +26,20 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl Peers {
-    /// Tells a daemon which version began a stream of a service.
-    pub fn send_origin(&self, to: &Name, service: ServiceId, stream: StreamId, version: &Name) {
-        let origin =
-            StreamOrigin { service: service.0, stream: stream.0, version: version.to_string() };
+    /// Tells a daemon which target began a stream of a service.
+    pub fn send_origin(
+        &self,
+        to: &Name,
+        service: ServiceId,
+        stream: StreamId,
+        origin: &RecordedOrigin,
+    ) {
+        let origin = StreamOrigin {
+            service: service.0,
+            stream: stream.0,
+            version: origin.version.to_string(),
+            target: origin.target.as_ref().map(Name::to_string),
+        };
         self.send(Some(to), &Message::StreamOrigin(origin));
     }
 
@@ -42,8 +52,9 @@
             is_sent
         };
         match self.inner.origins.ask(of, ANSWER_TIMEOUT, send).await {
-            Some(OriginAnswer { version: Some(version), .. }) => {
-                OriginReply::Version(Name::from(version))
+            Some(OriginAnswer { version: Some(version), target, .. }) => {
+                let target = target.map(Name::from);
+                OriginReply::Known(RecordedOrigin { version: Name::from(version), target })
             }
             Some(OriginAnswer { version: None, .. }) => OriginReply::Unknown,
             None if is_sent => OriginReply::NoAnswer,
@@ -52,8 +63,13 @@
     }
 
     /// Answers a question about the version that began a stream.
-    pub(super) fn answer_about_origin(&self, to: &Name, id: u64, version: Option<Name>) {
-        let answer = OriginAnswer { id, version: version.map(|it| it.to_string()) };
+    pub(super) fn answer_about_origin(&self, to: &Name, id: u64, origin: Option<RecordedOrigin>) {
+        let (version, target) = origin.map(|it| (it.version, it.target)).unzip();
+        let answer = OriginAnswer {
+            id,
+            version: version.map(|it| it.to_string()),
+            target: target.flatten().map(|it| it.to_string()),
+        };
         self.send(Some(to), &Message::OriginAnswer(answer));
     }
 }
--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -19,7 +19,7 @@
 use kv_store::{Entry, Outcome, Revision};
 use peer::StreamOrigin;
 use policy::versions::{
-    MIXED_WINDOW, StoredHistory, StreamId, StreamOrigins, VersionHistory, holders,
+    MIXED_WINDOW, RecordedOrigin, StoredHistory, StreamId, StreamOrigins, VersionHistory, holders,
 };
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
@@ -82,6 +82,8 @@
 pub struct FoundOrigin {
     /// The version.
     pub version: Name,
+    /// The target that began the stream, if it is recorded.
+    pub target: Option<Name>,
     /// How it is known.
     pub source: OriginSource,
 }
@@ -100,7 +102,7 @@
 /// What the daemons that keep the origin of a stream say together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum HolderReplies {
-    Version(Name),
+    Known(RecordedOrigin),
     /// All have answered, and none knows the stream.
     Unknown,
     /// At least one did not answer.
@@ -123,6 +125,19 @@
     is_loaded: bool,
 }
 
+impl FoundOrigin {
+    fn recorded(origin: RecordedOrigin, source: OriginSource) -> Self {
+        let RecordedOrigin { version, target } = origin;
+        Self { version, target, source }
+    }
+
+    /// Returns whether the target that began the stream is listed with another version.
+    fn has_other_version_now(&self, cx: &Shared, service: &QualifiedName) -> bool {
+        let entry = self.target.as_ref().and_then(|it| cx.directory.entry(service, it));
+        entry.is_some_and(|it| it.version != self.version)
+    }
+}
+
 impl Default for Streams {
     fn default() -> Self {
         Self { state: Mutex::default(), read_ended: Event::new(), reads: async_channel::bounded(1) }
@@ -143,21 +158,27 @@
             shared.extend(recent.map(|(stream, it)| (service.clone(), stream, it.clone())));
         }
         drop(state);
-        for (service, stream, version) in shared {
-            tell_holders(cx, &service, stream, &version, usize::MAX);
+        for (service, stream, origin) in shared {
+            tell_holders(cx, &service, stream, &origin, usize::MAX);
         }
     }
 
     /// Records that a target of a version sent the first event of a stream.
-    pub fn record(&self, cx: &Shared, service: &QualifiedName, stream: StreamId, version: &Name) {
+    pub fn record(
+        &self,
+        cx: &Shared,
+        service: &QualifiedName,
+        stream: StreamId,
+        origin: &RecordedOrigin,
+    ) {
         let now = cx.clock.now();
         let mut state = self.lock();
-        state.origins.record(now, stream, service.clone(), version.clone());
+        state.origins.record(now, stream, service.clone(), origin.clone());
         // Another instance may know of versions that this one has not heard of yet. While it seems that there is only one, a second
         // holder is not worth its messages: if the first one is lost, the list of targets tells the version.
         let copies = if state.history.is_mixed(service, now) { usize::MAX } else { 1 };
         drop(state);
-        tell_holders(cx, service, stream, version, copies);
+        tell_holders(cx, service, stream, origin, copies);
     }
 
     /// Records the origin of a stream that a peer reports.
@@ -167,13 +188,17 @@
             debug!(cx.log, "origin of a stream of an unknown service ignored"; "version" => origin.version);
             return;
         };
-        let (stream, version) = (StreamId(origin.stream), Name::from(origin.version));
-        self.lock().origins.record(cx.clock.now(), stream, service.clone(), version);
+        let recorded = RecordedOrigin {
+            version: Name::from(origin.version),
+            target: origin.target.map(Name::from),
+        };
+        let stream = StreamId(origin.stream);
+        self.lock().origins.record(cx.clock.now(), stream, service.clone(), recorded);
     }
 
-    /// Returns the version that began a stream, as far as this instance has seen or was told.
-    pub fn known_version(&self, stream: StreamId) -> Option<Name> {
-        self.lock().origins.version(stream).cloned()
+    /// Returns which target began a stream, as far as this instance has seen or was told.
+    pub fn known_origin(&self, stream: StreamId) -> Option<RecordedOrigin> {
+        self.lock().origins.origin(stream).cloned()
     }
 
     /// Finds the version that began a stream which a caller takes up.
@@ -189,6 +214,14 @@
             // Targets may have started with the version, or again with another one, without this instance having heard of it.
             self.confirm_targets(cx, arrived, limit).await;
         }
+        // The instance that placed the stream may not have heard of the other version, so either one may have begun it.
+        search.origin = search.origin.filter(|it| {
+            let has_changed = it.has_other_version_now(cx, taken_up.service);
+            if has_changed {
+                info!(cx.log, "target of a stream has another version now"; "target" => ?it.target, "recorded" => %it.version);
+            }
+            !has_changed
+        });
         search.waited = arrived.elapsed();
         search
     }
@@ -202,8 +235,8 @@
         let TakenUpStream { service, stream, .. } = *taken_up;
         let max_age = MIXED_WINDOW.max(taken_up.max_age + AGE_SLACK);
         loop {
-            if let Some(version) = stream.and_then(|it| self.known_version(it)) {
-                return Some(FoundOrigin { version, source: OriginSource::Own });
+            if let Some(origin) = stream.and_then(|it| self.known_origin(it)) {
+                return Some(FoundOrigin::recorded(origin, OriginSource::Own));
             }
             // An instance that runs for longer has seen what has left.
             let is_new = cx.clock.now().since(Timestamp::ZERO) < MIXED_WINDOW;
@@ -214,8 +247,8 @@
                 Some(stream) => ask_holders(cx, stream).await,
                 None => HolderReplies::Unknown,
             };
-            if let HolderReplies::Version(version) = replies {
-                return Some(FoundOrigin { version, source: OriginSource::Holder });
+            if let HolderReplies::Known(origin) = replies {
+                return Some(FoundOrigin::recorded(origin, OriginSource::Holder));
             }
             let is_cut_off =
                 replies == HolderReplies::Unreachable && !cx.platform_store().reaches_service();
@@ -223,13 +256,14 @@
                 && self.confirm_targets(cx, arrived, limit).await
                 && let Some(version) = self.only_version(service, cx.clock.now(), max_age)
             {
-                return Some(FoundOrigin { version, source: OriginSource::OnlyVersion });
+                let source = OriginSource::OnlyVersion;
+                return Some(FoundOrigin { version, target: None, source });
             }
             let max_wait = match replies {
                 HolderReplies::Incomplete => limit,
                 _ if is_new => limit,
                 HolderReplies::Unreachable => limit.min(RECONNECT_TIME),
-                HolderReplies::Version(_) | HolderReplies::Unknown => Duration::ZERO,
+                HolderReplies::Known(_) | HolderReplies::Unknown => Duration::ZERO,
             };
             if arrived.elapsed() >= max_wait {
                 return None;
@@ -395,12 +429,12 @@
     cx: &Shared,
     service: &QualifiedName,
     stream: StreamId,
-    version: &Name,
+    origin: &RecordedOrigin,
     copies: usize,
 ) {
     let Some(peers) = cx.peers.get() else { return };
     for holder in holders(&cx.item_runners(), stream).iter().take(copies) {
-        peers.send_origin(holder, ServiceId::of(service), stream, version);
+        peers.send_origin(holder, ServiceId::of(service), stream, origin);
     }
 }
 
@@ -415,7 +449,7 @@
     let (mut unanswered, mut unreachable) = (0, 0);
     while let Some(reply) = asked.next().await {
         match reply {
-            OriginReply::Version(version) => return HolderReplies::Version(version),
+            OriginReply::Known(origin) => return HolderReplies::Known(origin),
             OriginReply::Unknown => {}
             OriginReply::NoAnswer => unanswered += 1,
             OriginReply::Unreachable => unreachable += 1,
--- a/crates/borageshed/tests/restarted_targets.rs
+++ b/crates/borageshed/tests/restarted_targets.rs
@@ -29,14 +29,14 @@
     [moved(one, other), moved(other, one)].concat()
 }
 
-/// Starts a site with two targets of version 1, each of which has received a request.
+/// Starts a site with two targets of version 1, each of which has begun a stream.
 async fn site_with_known_targets(kept: &Target, restarted: &Target) -> io::Result<Site> {
     let site = Site::start(&[]).await?;
     operator::register_version(&site.platform, "t-1", kept.address(), "v1");
     operator::register_version(&site.platform, "t-2", restarted.address(), "v1");
     let are_known = async || {
         send_streams(site.callers(), "known", 4).await;
-        !kept.requests().is_empty() && !restarted.requests().is_empty()
+        !ids(kept, false).is_empty() && !ids(restarted, false).is_empty()
     };
     wait_until("the entry daemon knows the targets", are_known).await?;
     Ok(site)
@@ -117,6 +117,41 @@
     request.send(to).await.expect("an answer").status
 }
 
+// Guards against a take-up that trusts a record of an instance that placed the stream at a version which its target had no longer.
+#[async_std::test]
+async fn a_stream_that_began_at_a_restarted_target_is_not_taken_up_at_its_earlier_version()
+-> io::Result<()> {
+    let kept = Target::start(Behaviour::BreakAfter(3)).await?;
+    let restarted = Target::start(Behaviour::BreakAfter(3)).await?;
+    let site = site_with_known_targets(&kept, &restarted).await?;
+    let (_second, second) = site.start_entry("second", 8_400).await?;
+    let are_known = async || {
+        let before = (kept.requests().len(), restarted.requests().len());
+        send_streams(second, "second", 4).await;
+        kept.requests().len() > before.0 && restarted.requests().len() > before.1
+    };
+    wait_until("the second entry daemon knows the targets", are_known).await?;
+    site.entry_link.silence();
+    site.entry_link.silence_new(true);
+    restarted.restart();
+    operator::register_version(&site.platform, "t-2", restarted.address(), "v2");
+    send_streams(site.callers(), "cut", 12).await;
+    let begun: Vec<String> =
+        ids(&restarted, false).into_iter().filter(|it| it.starts_with("cut")).collect();
+    assert!(!begun.is_empty());
+    let mut statuses = Vec::new();
+    for first in &begun {
+        statuses.push(take_up(second, &format!("up-{first}"), first).await);
+    }
+    let at_kept: Vec<_> = ids(&kept, true).into_iter().filter(|it| it.starts_with("up")).collect();
+    assert_eq!(
+        at_kept,
+        Vec::<String>::new(),
+        "the earlier version was asked to go on: {statuses:?}"
+    );
+    Ok(())
+}
+
 // Guards against a take-up at a target that has the version of the stream only in the list that a stopped instance last read.
 #[async_std::test]
 async fn a_stream_is_not_taken_up_at_a_target_that_has_restarted_with_another_version()
--- a/crates/peer/src/message/streams.rs
+++ b/crates/peer/src/message/streams.rs
@@ -12,6 +12,9 @@
     /// The version.
     #[prost(string, tag = "3")]
     pub version: String,
+    /// The target; missing if it is not known.
+    #[prost(string, optional, tag = "4")]
+    pub target: Option<String>,
 }
 
 /// Asks which version began a stream.
@@ -34,4 +37,7 @@
     /// The version; missing if it is not known.
     #[prost(string, optional, tag = "2")]
     pub version: Option<String>,
+    /// The target that began the stream; missing if it is not known.
+    #[prost(string, optional, tag = "3")]
+    pub target: Option<String>,
 }
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -36,6 +36,16 @@
     }
 }
 
+value_type! {
+    /// Which target began a stream, as far as the instance that placed it knew.
+    pub struct RecordedOrigin {
+        /// The version.
+        pub version: Name,
+        /// The target; `None` if it was recorded without one.
+        pub target: Option<Name>,
+    }
+}
+
 /// The versions that serve each service, or did until recently.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -208,29 +218,29 @@
 #[derive(Debug)]
 struct Origin {
     service: QualifiedName,
-    version: Name,
+    recorded: RecordedOrigin,
     recorded_at: Timestamp,
 }
 
 impl StreamOrigins {
-    /// Remembers which version began a stream. The first record counts.
+    /// Remembers which target began a stream. The first record counts.
     pub fn record(
         &mut self,
         now: Timestamp,
         stream: StreamId,
         service: QualifiedName,
-        version: Name,
+        recorded: RecordedOrigin,
     ) {
         self.forget_outdated(now);
         if let Entry::Vacant(entry) = self.origins.entry(stream) {
-            entry.insert(Origin { service, version, recorded_at: now });
+            entry.insert(Origin { service, recorded, recorded_at: now });
             self.order.push_back(stream);
         }
     }
 
-    /// Returns the version that began a stream, if it is known.
-    pub fn version(&self, stream: StreamId) -> Option<&Name> {
-        self.origins.get(&stream).map(|it| &it.version)
+    /// Returns which target began a stream, if it is known.
+    pub fn origin(&self, stream: StreamId) -> Option<&RecordedOrigin> {
+        self.origins.get(&stream).map(|it| &it.recorded)
     }
 
     /// Returns the streams of a service that began within `max_age`.
@@ -239,12 +249,12 @@
         service: &QualifiedName,
         now: Timestamp,
         max_age: Duration,
-    ) -> impl Iterator<Item = (StreamId, &Name)> {
+    ) -> impl Iterator<Item = (StreamId, &RecordedOrigin)> {
         let recent = self
             .origins
             .iter()
             .filter(move |(_, it)| it.service == *service && now.since(it.recorded_at) < max_age);
-        recent.map(|(stream, it)| (*stream, &it.version))
+        recent.map(|(stream, it)| (*stream, &it.recorded))
     }
 
     /// Forgets the streams that began too long ago, and the oldest one if there are too many.
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -6,7 +6,9 @@
 };
 
 use fleet::{Kind, QualifiedName};
-use policy::versions::{StoredHistory, StreamId, StreamOrigins, VersionHistory, holders};
+use policy::versions::{
+    RecordedOrigin, StoredHistory, StreamId, StreamOrigins, VersionHistory, holders,
+};
 use stdx::{Name, Timestamp};
 
 /// The longest time that a caller's request lasts, over all attempts.
@@ -85,15 +87,16 @@
 fn the_first_record_of_a_stream_counts_and_old_ones_are_forgotten() {
     let mut origins = StreamOrigins::default();
     let stream = |n: u64| StreamId::of(&service(), &format!("r-{n}"));
-    origins.record(at(1), stream(0), service(), "v1".into());
-    origins.record(at(2), stream(0), service(), "v2".into());
-    assert_eq!(origins.version(stream(0)).map(|it| it.as_str()), Some("v1"));
+    let of = |version: &str| RecordedOrigin { version: version.into(), target: None };
+    origins.record(at(1), stream(0), service(), of("v1"));
+    origins.record(at(2), stream(0), service(), of("v2"));
+    assert_eq!(origins.origin(stream(0)), Some(&of("v1")));
     for n in 1..=70_000 {
-        origins.record(at(3), stream(n), service(), "v2".into());
+        origins.record(at(3), stream(n), service(), of("v2"));
     }
-    assert_eq!(origins.version(stream(0)), None);
+    assert_eq!(origins.origin(stream(0)), None);
     assert_eq!(origins.recent(&service(), at(3), MAX_AGE).count(), 65_536);
-    origins.record(at(200), stream(0), service(), "v3".into());
+    origins.record(at(200), stream(0), service(), of("v3"));
     assert_eq!(origins.recent(&service(), at(200), Duration::MAX).count(), 1);
 }
 
