Announce the close of connections before a drain answers waiting requests

A request that waits for a slot is refused as soon as the drain has started, and the refusal could be written before the server knew that it closes connections after answers, so it lacked 'Connection: close'. Seen once in 9 runs of drain.rs beside builds (a_request_that_waits_for_a_slot_is_refused_when_the_drain_leaves_too_little_time); cause by reading.

--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -192,13 +192,16 @@
     info!(cx.log, "drain starting"; "requests" => cx.control.open_requests());
     let lead = Duration::from_millis(limits.drain_lead_ms);
     let limit = Duration::from_millis(limits.drain_ms);
+    // Set first, because requests that wait are answered as soon as the drain has started.
+    if let Some(callers) = callers {
+        callers.close_after_answers();
+    }
     cx.drain.start(cx.clock.now() + lead + limit);
     cx.draining.set();
     peers.announce_leaving();
     let mut cut = 0;
     if let Some(callers) = callers {
         // The load balancer polls the readiness of the instance, and sends connections until it sees the change.
-        callers.close_after_answers();
         task::sleep(lead).await;
         cut = callers.drain(limit).await.closed_at_deadline;
     }
