Check the version of the target that goes on with a taken-up stream

A caller that took a stream up could still get it from a target that had started again under its id with another version after the list was read, or beside a loss of the store, in which the read of the list fails at once. Continuations by the daemon itself were checked already, the attempt of a take-up was not. A failed read is now repeated for up to 600 ms, as one of them may have met a cut connection.

--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -19,6 +19,7 @@
     Call, finish_refused,
     forwarder::{self, AnswerForwarder},
     protocol::{self, Liveness},
+    source::{AnswerSource, VersionCheck},
 };
 use crate::{
     answer::set_body,
@@ -113,6 +114,24 @@
         admission.not_run(cause);
         return AttemptEnd::Next(admission);
     }
+    if last_event.is_some() {
+        let source = AnswerSource::of(&res, target, version);
+        let time_left = call.time_left(cx.clock.now());
+        match interrupts.race(&admission, source.check_version(cx, &call.service, time_left)).await
+        {
+            Ok(VersionCheck::Confirmed) => {}
+            Ok(VersionCheck::Changed | VersionCheck::Unconfirmed) => {
+                // The target is sound, but what it sends may not fit to what the caller has.
+                drop(res);
+                admission.failed_after_send(FailureCause::AnswerLost);
+                return AttemptEnd::Next(admission);
+            }
+            Err(interrupt) => {
+                drop(res);
+                return end_interrupted(admission, interrupt);
+            }
+        }
+    }
     let seconds = cx.clock.now().since(started).as_secs_f64();
     cx.metrics.first_byte_seconds.get_or_create(&super::service_labels(call)).observe(seconds);
     let forwarder = |admission| AnswerForwarder {
--- a/crates/borageshed/src/online/source.rs
+++ b/crates/borageshed/src/online/source.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use async_std::task;
 use fleet::QualifiedName;
 use http_edge::client::AnswerInfo;
 use http_types::Response;
@@ -16,6 +17,9 @@
 /// The longest time that the list of targets is awaited before an answer goes on at another target.
 const MAX_CHECK: Duration = Duration::from_millis(600);
 
+/// The delay before a list of targets that could not be read is read again.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// The target that sends an answer.
 #[derive(Debug, Clone)]
 pub struct AnswerSource {
@@ -56,8 +60,15 @@
             // The targets of a document have no versions.
             return VersionCheck::Confirmed;
         }
-        let limit = self.opened_at.elapsed() + MAX_CHECK.min(time_left / 2);
-        let is_confirmed = cx.streams.confirm_targets(cx, self.opened_at, limit).await;
+        let started = Instant::now();
+        let max_check = MAX_CHECK.min(time_left / 2);
+        let limit = self.opened_at.elapsed() + max_check;
+        let mut is_confirmed = cx.streams.confirm_targets(cx, self.opened_at, limit).await;
+        // A read over a connection that was cut fails at once, and the next one may succeed.
+        while !is_confirmed && started.elapsed() < max_check {
+            task::sleep(RETRY_DELAY).await;
+            is_confirmed = cx.streams.confirm_targets(cx, self.opened_at, limit).await;
+        }
         let check = self.compare(cx, service, is_confirmed);
         if check != VersionCheck::Confirmed {
             info!(
--- a/crates/borageshed/tests/soak/releases.rs
+++ b/crates/borageshed/tests/soak/releases.rs
@@ -123,11 +123,7 @@
 fn complete(fixture: &mut Fixture, completion: Completion) {
     match completion {
         Completion::Start { target, version, keeps_id } => {
-            let version = match keeps_id {
-                true => fixture.targets[target].version.clone(),
-                false => version_name(version),
-            };
-            fixture.start_target(target, version, keeps_id)
+            fixture.start_target(target, version_name(version), keeps_id)
         }
         Completion::ResetBehaviour(target) => {
             fixture.targets[target].server.set_behaviour(HEALTHY_BEHAVIOUR)
--- a/crates/borageshed/tests/versions.rs
+++ b/crates/borageshed/tests/versions.rs
@@ -7,7 +7,7 @@
 use test_support::{
     http::{Call, Reply},
     operator::{self, DRAFTS, HOST, STREAMS},
-    target::{Behaviour, Target},
+    target::{Behaviour, Identity, Target},
 };
 
 mod operator_site;
@@ -287,3 +287,60 @@
     assert!(went_on >= COUNT / 2, "{went_on} of {COUNT} went on: {statuses:?}");
     Ok(())
 }
+
+/// Starts a site with the target `t-1` of version 1, which has sent the whole stream `r-1`.
+async fn site_with_whole_stream(target: &Target) -> io::Result<Site> {
+    let site = Site::start(&[]).await?;
+    start_target(&site, target, "v1");
+    let is_whole = async || {
+        let reply = call(STREAMS, "r-1").header("host", HOST).send(site.callers()).await;
+        reply.is_ok_and(|it| it.event_data().len() == 6)
+    };
+    wait_until("a whole stream", is_whole).await?;
+    Ok(site)
+}
+
+/// Makes the target `t-1` one that has just started with a version.
+fn start_target(site: &Site, target: &Target, version: &str) {
+    target.restart();
+    target.set_identity(Identity { id: "t-1".to_owned(), version: version.to_owned() });
+    operator::register_version(&site.platform, "t-1", target.address(), version);
+}
+
+// Guards against a stream that goes on at a target that has started again under its id with another version, just before its
+// new entry arrives.
+#[async_std::test]
+async fn a_stream_does_not_go_on_at_its_target_that_has_started_again_at_another_version()
+-> io::Result<()> {
+    let target = Target::start(stream(6, 0)).await?;
+    let site = site_with_whole_stream(&target).await?;
+    for n in 0..10 {
+        site.entry_link.delay(Duration::from_millis(30));
+        start_target(&site, &target, &format!("v{}", n + 2));
+        let reply = take_up(site.callers(), &format!("e-{n}"), "r-1").await;
+        assert_eq!(reply.status, 503, "{:?}", reply.event_data());
+        site.entry_link.delay(Duration::ZERO);
+        start_target(&site, &target, "v1");
+        let goes_on = async || take_up(site.callers(), "back", "r-1").await.status == 200;
+        wait_until("the stream goes on at its version", goes_on).await?;
+    }
+    Ok(())
+}
+
+// Guards against an instance that takes a failed read of the targets for a confirmation.
+#[async_std::test]
+async fn a_stream_does_not_go_on_at_another_version_beside_a_short_loss_of_the_store()
+-> io::Result<()> {
+    let target = Target::start(stream(6, 0)).await?;
+    let site = site_with_whole_stream(&target).await?;
+    site.entry_link.refuse(true);
+    site.entry_link.cut();
+    start_target(&site, &target, "v2");
+    let restored = async {
+        task::sleep(Duration::from_millis(200)).await;
+        site.entry_link.refuse(false);
+    };
+    let (reply, ()) = futures::join!(take_up(site.callers(), "e-1", "r-1"), restored);
+    assert!(matches!(reply.status, 502 | 503), "{} {:?}", reply.status, reply.event_data());
+    Ok(())
+}
