Continue no output whose last event has no id

Found by reading. On the code before, output of 'id: 1' and an event without an id went on after 1 with both texts kept, and output without any id went on from the start. Now a stream breaks off visibly, and an item starts anew; comments do not count as events.

--- a/crates/borageshed/src/online/event_data.rs
+++ b/crates/borageshed/src/online/event_data.rs
@@ -68,7 +68,8 @@
 impl EventData {
     /// Returns the whole events, if a run can continue after them.
     pub fn partial_output(&self) -> Option<PartialOutput> {
-        let last_event = self.last_id().filter(|_| self.is_version_certain)?;
+        let can_go_on = self.is_version_certain && self.splitter.can_go_on();
+        let last_event = self.last_id().filter(|_| can_go_on)?;
         Some(PartialOutput {
             text: self.text.clone(),
             events: self.event_count(),
@@ -79,9 +80,10 @@
 
     /// Records that a target of a version is about to send output, and returns the id of the last event, after which it goes on.
     ///
-    /// Output of an uncertain version is discarded, since no target is known to go on with it.
+    /// Output of an uncertain version is discarded, since no target is known to go on with it, and so is output that ends in events
+    /// without an id.
     pub fn begin_attempt(&mut self, version: &Name) -> Option<u64> {
-        if !self.is_version_certain {
+        if !self.is_version_certain || !self.splitter.can_go_on() {
             *self = Self::default();
         }
         self.splitter.begin_attempt();
--- a/crates/borageshed/src/online/events.rs
+++ b/crates/borageshed/src/online/events.rs
@@ -60,6 +60,8 @@
     partial_share: BudgetShare,
     event_count: u64,
     last_id: Option<u64>,
+    /// Whether events with data have arrived after the one with `last_id`.
+    has_unnumbered: bool,
     /// What the answer must be, if a target was asked to go on after `last_id`.
     resumed: Resumed,
 }
@@ -93,6 +95,7 @@
             partial_share: UNFINISHED_EVENTS.share(),
             event_count: 0,
             last_id: None,
+            has_unnumbered: false,
             resumed: Resumed::default(),
         }
     }
@@ -139,6 +142,9 @@
         self.check_resumed(&whole)?;
         self.event_count += count_events(&whole);
         self.last_id = last_id(&whole).or(self.last_id);
+        if let Some(last) = blocks(&whole).filter(|it| has_data(it)).last() {
+            self.has_unnumbered = last_id(last).is_none();
+        }
         Ok(whole)
     }
 
@@ -165,6 +171,12 @@
         self.last_id
     }
 
+    /// Returns whether a target that is asked to go on after [`EventSplitter::last_id`] sends exactly what is missing. It would repeat
+    /// events that have no id.
+    pub fn can_go_on(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Discards the incomplete event at the end of a broken stream.
     pub fn discard_partial(&mut self) {
         self.partial = Vec::new();
@@ -214,6 +226,10 @@
     block.split(|it| *it == b'\n').any(|line| FIELDS.iter().any(|it| line.starts_with(it)))
 }
 
+fn has_data(block: &[u8]) -> bool {
+    block.split(|it| *it == b'\n').any(|line| line.starts_with(b"data:"))
+}
+
 fn last_id(events: &[u8]) -> Option<u64> {
     let ids = events.split(|it| *it == b'\n').rev().filter_map(|it| it.strip_prefix(b"id:"));
     ids.filter_map(|it| std::str::from_utf8(it).ok()?.trim().parse().ok()).next()
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -180,9 +180,11 @@
                     let resumed = match self.call.resumption {
                         Resumption::AnyTarget { after } => {
                             let last_event = splitter.last_id().or(after);
-                            let resumed = match has_output && !self.is_of_version(&source).await {
-                                true => ResumeOutcome::Failed,
-                                false => self.resume_on_any_target(last_event, &e).await,
+                            let can_go_on = splitter.can_go_on()
+                                && (!has_output || self.is_of_version(&source).await);
+                            let resumed = match can_go_on {
+                                true => self.resume_on_any_target(last_event, &e).await,
+                                false => ResumeOutcome::Failed,
                             };
                             splitter.begin_attempt();
                             resumed
--- a/crates/borageshed/tests/event_data.rs
+++ b/crates/borageshed/tests/event_data.rs
@@ -67,3 +67,26 @@
     drop(streams);
     EventSplitter::default().push(&unfinished).expect("room for an event");
 }
+
+// Guards against a text or stream that repeats events, because a target was asked to go on after an earlier event than the last one.
+#[test]
+fn output_whose_last_event_has_no_id_is_not_continued() {
+    for (events, can_go_on) in [
+        ("id: 1\ndata: a\n\n", true),
+        ("id: 1\ndata: a\n\n: still there\n\n", true),
+        ("data: a\n\n", false),
+        ("id: 1\ndata: a\n\ndata: b\n\n", false),
+        ("id: 1\ndata: a\n\ndata: b\n\nid: 3\ndata: c\n\n", true),
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(events.as_bytes()).expect("a short stream");
+        assert_eq!(splitter.can_go_on(), can_go_on, "{events:?}");
+        let mut data = EventData::default();
+        data.begin_attempt(&Name::new("1"));
+        data.confirm_version();
+        data.push(events.as_bytes()).expect("a short stream");
+        assert_eq!(data.partial_output().is_some(), can_go_on, "{events:?}");
+        assert_eq!(data.begin_attempt(&Name::new("1")).is_some(), can_go_on, "{events:?}");
+        assert_eq!(data.text().is_empty(), !can_go_on, "{events:?}");
+    }
+}
