Treat a relay that does not count its gaps as one with gaps

A relay of an earlier release sends no count, which was decoded as 0, so its users took their list of targets for complete. Found by the review, by reading; it matters only while daemons of both releases run. The count is optional now, and without one each answer may have a gap.

--- a/crates/peer/src/message/reads.rs
+++ b/crates/peer/src/message/reads.rs
@@ -57,9 +57,9 @@
     /// The number of changes of the relay's copy.
     #[prost(uint64, tag = "6")]
     pub changes: u64,
-    /// How often the relay's copy may have missed changes.
-    #[prost(uint64, tag = "7")]
-    pub gaps: u64,
+    /// How often the relay's copy may have missed changes; missing from daemons of earlier releases.
+    #[prost(uint64, optional, tag = "7")]
+    pub gaps: Option<u64>,
     /// The keys.
     #[prost(message, repeated, tag = "4")]
     pub items: Vec<StoredItem>,
