Decide the version of an answer by the first list after its connection

A stream could still be joined from two versions after its target had left the list: the check compared with the list as it was when the stream broke, and took a target that it did not name for one that had not started again. The other way round, streams that had begun at a certain version were refused once their target had started again with another one.

The first one after a connection was opened names the version of the process that answers on it, whatever came later. Entries that are kept after an outage do not count as listed. An origin whose version is certain names no target, so a later restart of the target does not put it in doubt; an uncertain one is not used if its target has had another version.

--- a/crates/borageshed/src/directory.rs
+++ b/crates/borageshed/src/directory.rs
@@ -42,6 +42,8 @@
         pub address: SocketAddr,
         /// The version of the target's software; empty if unknown.
         pub version: Name,
+        /// Whether the last list names the target.
+        pub listed: bool,
     }
 }
 
@@ -95,7 +97,7 @@
         let targets = document.services.iter().flat_map(|(service, it)| {
             it.targets.iter().map(|(target, it)| {
                 let name = TargetName { service: service.clone(), target: target.clone() };
-                (name, TargetEntry { address: it.address, version: Name::from("") })
+                (name, TargetEntry { address: it.address, version: Name::from(""), listed: true })
             })
         });
         Self::new(targets)
@@ -112,6 +114,13 @@
     }
 }
 
+impl TargetTable {
+    /// Returns the targets that the last list names.
+    pub fn listed(&self) -> impl Iterator<Item = (&TargetName, &TargetEntry)> {
+        self.entries.iter().filter(|(_, it)| it.listed)
+    }
+}
+
 impl Directory {
     /// Replaces all targets.
     pub fn set(&self, table: TargetTable) {
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -242,19 +242,21 @@
     }
     let source = AnswerSource::of(&res, target, version);
     if last_event.is_some() {
-        let check = Box::pin(is_of_version(cx, call, &source));
+        let check = Box::pin(check_version(cx, call, &source));
         let checked = match select(check, Box::pin(admission.next())).await {
-            Either::Left((is_certain, _)) => Ok(is_certain),
+            Either::Left((check, _)) => Ok(check),
             Either::Right((directive, _)) => Err(directive),
         };
         match checked {
-            Ok(true) => {}
-            Ok(false) => {
-                // What the target sends may not fit to the output so far.
+            Ok(VersionCheck::Confirmed) => {}
+            Ok(VersionCheck::Changed) => {
+                // What the target sends does not continue the output so far.
                 drop(res);
                 admission.failed_after_send(FailureCause::AnswerLost);
                 return AttemptOutcome::AwaitDirective(admission);
             }
+            // Another target could not be confirmed either, so the item waits.
+            Ok(VersionCheck::Unconfirmed) => return AttemptOutcome::Refused(MAX_RETRY_DELAY),
             Err(directive) => return on_interrupted(admission, directive),
         }
     }
@@ -311,9 +313,9 @@
     Interrupted(Option<Directive>),
 }
 
-async fn is_of_version(cx: &Shared, call: &Call, source: &AnswerSource) -> bool {
+async fn check_version(cx: &Shared, call: &Call, source: &AnswerSource) -> VersionCheck {
     let time_left = call.time_left(cx.clock.now());
-    source.check_version(cx, &call.service, time_left).await == VersionCheck::Confirmed
+    source.check_version(cx, &call.service, time_left).await
 }
 
 /// Reads the output, and checks that it comes from the version under which the item was placed: after a while, so that it can be stored,
@@ -329,7 +331,7 @@
     let read = Box::pin(read_output(cx, call, &source.target, res, admission, output));
     let check = Box::pin(async {
         task::sleep(VERSION_CHECK_DELAY).await;
-        is_of_version(cx, call, source).await
+        check_version(cx, call, source).await == VersionCheck::Confirmed
     });
     let outcome = match select(read, check).await {
         Either::Left((outcome, _)) => outcome,
@@ -344,7 +346,7 @@
         return outcome;
     }
     let is_certain = match outcome {
-        ReadOutcome::Broken(_) => is_of_version(cx, call, source).await,
+        ReadOutcome::Broken(_) => check_version(cx, call, source).await == VersionCheck::Confirmed,
         // An online request waits for the slot, so the store is not read.
         ReadOutcome::Interrupted(_) => {
             source.check_known_version(cx, &call.service) == VersionCheck::Confirmed
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -114,18 +114,20 @@
         admission.not_run(cause);
         return AttemptEnd::Next(admission);
     }
-    if last_event.is_some() {
+    if last_event.is_some() && res.status().is_success() {
         let source = AnswerSource::of(&res, target, version);
         let time_left = call.time_left(cx.clock.now());
         match interrupts.race(&admission, source.check_version(cx, &call.service, time_left)).await
         {
             Ok(VersionCheck::Confirmed) => {}
-            Ok(VersionCheck::Changed | VersionCheck::Unconfirmed) => {
-                // The target is sound, but what it sends may not fit to what the caller has.
+            Ok(VersionCheck::Changed) => {
+                // The target is sound, but what it sends does not continue what the caller has.
                 drop(res);
                 admission.failed_after_send(FailureCause::AnswerLost);
                 return AttemptEnd::Next(admission);
             }
+            // Another target could not be confirmed either.
+            Ok(VersionCheck::Unconfirmed) => return AttemptEnd::Final(version_not_confirmed()),
             Err(interrupt) => {
                 drop(res);
                 return end_interrupted(admission, interrupt);
@@ -177,6 +179,11 @@
     }
 }
 
+fn version_not_confirmed() -> Problem {
+    let detail = "the software version of the target that would continue the stream is not certain";
+    Problem::new(ProblemKind::TargetFailed, Execution::Unknown, detail)
+}
+
 /// Records the time from the start of an attempt to the end of its answer.
 pub(crate) fn observe_request(cx: &Shared, call: &Call, started: Timestamp) {
     let seconds = cx.clock.now().since(started).as_secs_f64();
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -181,7 +181,9 @@
                         Resumption::AnyTarget { after } => {
                             let last_event = splitter.last_id().or(after);
                             let can_go_on = splitter.can_go_on()
-                                && (!has_output || self.is_of_version(&source).await);
+                                && (!has_output
+                                    || self.check_version(&source).await
+                                        == VersionCheck::Confirmed);
                             let resumed = match can_go_on {
                                 true => self.resume_on_any_target(last_event, &e).await,
                                 false => ResumeOutcome::Failed,
@@ -235,11 +237,14 @@
     /// Remembers which target began the stream, in case its caller takes it up. Called before the first event is delivered.
     fn record_origin(&self, source: &AnswerSource) {
         if matches!(self.call.resumption, Resumption::AnyTarget { .. }) {
+            let is_certain =
+                source.check_known_version(&self.cx, &self.call.service) == VersionCheck::Confirmed;
             let origin = RecordedOrigin {
                 version: source.version.clone(),
-                target: Some(source.target.clone()),
+                target: (!is_certain).then(|| source.target.clone()),
             };
-            self.cx.streams.record(&self.cx, &self.call.service, self.call.stream_id(), &origin);
+            let (service, stream) = (&self.call.service, self.call.stream_id());
+            self.cx.streams.record(&self.cx, service, stream, &origin, source.opened_at);
         }
     }
 
@@ -281,10 +286,13 @@
             };
             match directive {
                 Directive::Dispatch { target, version, .. } => {
-                    if let Some((res, source)) =
-                        self.resume_on((&target, &version), last_event).await
-                    {
-                        return ResumeOutcome::Continued(Box::new(res), source);
+                    match self.resume_on((&target, &version), last_event).await {
+                        ResumeAttempt::Sending(res, source) => {
+                            return ResumeOutcome::Continued(res, source);
+                        }
+                        ResumeAttempt::Failed => {}
+                        // Another target could not be confirmed either.
+                        ResumeAttempt::Unconfirmed => return ResumeOutcome::Withdrawn,
                     }
                 }
                 Directive::Yield | Directive::Cancel => {}
@@ -298,13 +306,13 @@
         &self,
         (target, version): (&Name, &Name),
         last_event: Option<u64>,
-    ) -> Option<(Response, AnswerSource)> {
+    ) -> ResumeAttempt {
         let address = self.cx.directory.address(&self.call.service, target);
         let req =
             address.and_then(|it| protocol::request(&self.cx, &self.call, it, target, last_event));
         let (Some(address), Some(req)) = (address, req) else {
             self.admission.failed_before_send();
-            return None;
+            return ResumeAttempt::Failed;
         };
         let sent_at = self.cx.clock.now();
         let time_left = self.call.time_left(sent_at);
@@ -313,46 +321,51 @@
             Ok(Ok(res)) => res,
             Ok(Err(e)) if e.progress == Progress::NotSent => {
                 self.admission.failed_before_send();
-                return None;
+                return ResumeAttempt::Failed;
             }
             Ok(Err(e)) => {
                 let cause = attempt::diagnose_failure(&self.cx, address, Some(&e.failure)).await;
                 self.admission.failed_after_send(cause);
-                return None;
+                return ResumeAttempt::Failed;
             }
             Err(_) => {
                 self.admission.failed_after_send(FailureCause::BadAnswer);
-                return None;
+                return ResumeAttempt::Failed;
             }
         };
         if let Some(cause) = protocol::not_run_cause(&self.cx, &self.call, target, &res, sent_at) {
             self.admission.not_run(cause);
-            return None;
+            return ResumeAttempt::Failed;
         }
         if res.status() != StatusCode::Ok || !is_event_stream(&res) {
             self.admission.failed_after_send(FailureCause::BadAnswer);
-            return None;
+            return ResumeAttempt::Failed;
         }
         let source = AnswerSource::of(&res, target, version);
-        if last_event.is_some() && !self.is_of_version(&source).await {
-            // The target is sound, but what it sends may not fit to what the caller has.
-            drop(res);
-            self.admission.failed_after_send(FailureCause::AnswerLost);
-            return None;
+        if last_event.is_some() {
+            match self.check_version(&source).await {
+                VersionCheck::Confirmed => {}
+                VersionCheck::Changed => {
+                    // The target is sound, but what it sends does not continue what the caller has.
+                    drop(res);
+                    self.admission.failed_after_send(FailureCause::AnswerLost);
+                    return ResumeAttempt::Failed;
+                }
+                VersionCheck::Unconfirmed => return ResumeAttempt::Unconfirmed,
+            }
         }
         info!(
             self.cx.log, "stream resumed";
             "request" => &self.call.request_id, "target" => %target, "version" => %version, "last_event" => last_event
         );
         self.admission.first_byte();
-        Some((res, source))
+        ResumeAttempt::Sending(Box::new(res), source)
     }
 
-    /// Returns whether it is certain that a target of the version under which the request was placed sends the answer.
-    async fn is_of_version(&self, source: &AnswerSource) -> bool {
+    /// Checks that a target of the version under which the request was placed sends the answer.
+    async fn check_version(&self, source: &AnswerSource) -> VersionCheck {
         let time_left = self.call.time_left(self.cx.clock.now());
-        let check = source.check_version(&self.cx, &self.call.service, time_left).await;
-        check == VersionCheck::Confirmed
+        source.check_version(&self.cx, &self.call.service, time_left).await
     }
 
     /// Requests the rest of the stream from the target that began it, over a new connection.
@@ -491,10 +504,21 @@
     Failed,
     /// The control thread refused the request.
     Refused,
-    /// A drain leaves too little time; the control thread learns of it when the admission is dropped.
+    /// A drain leaves too little time, or the version of targets cannot be confirmed; the control thread learns of it when the admission
+    /// is dropped.
     Withdrawn,
 }
 
+/// The outcome of asking one target for the rest of a stream.
+enum ResumeAttempt {
+    /// This target sends it.
+    Sending(Box<Response>, AnswerSource),
+    /// It does not, which has been reported to the control thread.
+    Failed,
+    /// It is not certain whether the target has the version that began the stream.
+    Unconfirmed,
+}
+
 /// What became of a piece for the caller.
 enum Delivery {
     Accepted,
--- a/crates/borageshed/src/online/source.rs
+++ b/crates/borageshed/src/online/source.rs
@@ -28,17 +28,17 @@
     /// The version under which the request was placed there.
     pub version: Name,
     /// When the connection had been opened.
-    opened_at: Instant,
+    pub opened_at: Instant,
 }
 
 /// What is known about the version of a target that sends an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionCheck {
-    /// A list of targets that is newer than the connection names the version.
+    /// The first list of targets that is newer than the connection names the version.
     Confirmed,
-    /// The target has another version now, so either one may have sent the answer.
+    /// That list names another version.
     Changed,
-    /// No list that is newer than the connection could be read.
+    /// No list that is newer than the connection could be read, or it does not name the target.
     Unconfirmed,
 }
 
@@ -69,7 +69,7 @@
             task::sleep(RETRY_DELAY).await;
             is_confirmed = cx.streams.confirm_targets(cx, self.opened_at, limit).await;
         }
-        let check = self.compare(cx, service, is_confirmed);
+        let check = self.check_known_version(cx, service);
         if check != VersionCheck::Confirmed {
             info!(
                 cx.log, "version of an answer is not certain";
@@ -79,21 +79,15 @@
         check
     }
 
-    /// Checks the version of the target against the last list, without reading one.
+    /// Checks the version of the target against the lists that are known, without reading one.
     pub fn check_known_version(&self, cx: &Shared, service: &QualifiedName) -> VersionCheck {
         if cx.settings.source == FleetSource::Document {
             return VersionCheck::Confirmed;
         }
-        self.compare(cx, service, cx.streams.are_targets_confirmed(self.opened_at))
-    }
-
-    fn compare(&self, cx: &Shared, service: &QualifiedName, is_confirmed: bool) -> VersionCheck {
-        let entry = cx.directory.entry(service, &self.target);
-        match (entry, is_confirmed) {
-            (Some(entry), _) if entry.version != self.version => VersionCheck::Changed,
-            // A target that is no longer listed has not started again.
-            (_, true) => VersionCheck::Confirmed,
-            (_, false) => VersionCheck::Unconfirmed,
+        match cx.streams.confirmed_version(service, &self.target, self.opened_at) {
+            Some(version) if version == self.version => VersionCheck::Confirmed,
+            Some(_) => VersionCheck::Changed,
+            None => VersionCheck::Unconfirmed,
         }
     }
 }
--- a/crates/borageshed/src/operator.rs
+++ b/crates/borageshed/src/operator.rs
@@ -137,7 +137,7 @@
                 info!(cx.log, "targets may have come and gone unseen");
                 cx.streams.record_gap(&cx);
             }
-            registry::Event::Confirmed(at) => cx.streams.confirm(at),
+            registry::Event::Confirmed(at) => cx.streams.confirm(&cx, at),
         }
         true
     })
@@ -149,8 +149,11 @@
         service: it.service.clone(),
         target: it.id.name().clone(),
     };
-    let entry =
-        |it: &RegisteredTarget| TargetEntry { address: it.address, version: it.version.clone() };
+    let entry = |it: &RegisteredTarget| TargetEntry {
+        address: it.address,
+        version: it.version.clone(),
+        listed: it.listed,
+    };
     cx.directory.set(TargetTable::new(targets.iter().map(|it| (name(it), entry(it)))));
     let mut versions: BTreeMap<QualifiedName, BTreeSet<Name>> = BTreeMap::new();
     for target in &targets {
--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -18,8 +18,12 @@
 use futures::{StreamExt as _, stream::FuturesUnordered};
 use kv_store::{Entry, Outcome, Revision};
 use peer::StreamOrigin;
-use policy::versions::{
-    MIXED_WINDOW, RecordedOrigin, StoredHistory, StreamId, StreamOrigins, VersionHistory, holders,
+use policy::{
+    confirmed_versions::ConfirmedVersions,
+    versions::{
+        MIXED_WINDOW, RecordedOrigin, StoredHistory, StreamId, StreamOrigins, VersionHistory,
+        holders,
+    },
 };
 use slog::{debug, info, warn};
 use stdx::{Name, Timestamp};
@@ -39,8 +43,12 @@
 /// How long an instance without a link to a daemon that may know a stream waits for one. After a stop of the process, links are dialled
 /// again within this time; after that the instance is cut off, and the caller had better try another one.
 const RECONNECT_TIME: Duration = Duration::from_millis(300);
-/// The delay after a read of the targets that failed.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Bounds the memory while the store does not answer.
+const MAX_UNCERTAIN: usize = 4_096;
+/// The shortest time between the beginnings of two reads of the targets, so that many take-ups do not use up the budget of calls.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(100);
+/// The longest delay after a read that failed; the first one is [`MIN_READ_INTERVAL`].
+const MAX_READ_RETRY_DELAY: Duration = Duration::from_millis(800);
 
 /// How long one read of the targets may take, however late its caller comes.
 const MIN_READ_TIME: Duration = Duration::from_millis(100);
@@ -107,7 +115,7 @@
     Unknown,
     /// At least one did not answer.
     Incomplete,
-    /// There is no path to any of them.
+    /// There is no path to at least one, and no other knows the stream.
     Unreachable,
 }
 
@@ -115,6 +123,9 @@
 struct State {
     history: VersionHistory,
     origins: StreamOrigins,
+    confirmed: ConfirmedVersions,
+    /// Streams whose origin becomes certain if the next list of targets names the same version.
+    uncertain: Vec<UncertainOrigin>,
     /// The known targets include all that the store knew at this time.
     confirmed_at: Option<Instant>,
     /// When the last read of the targets that failed was begun.
@@ -125,16 +136,41 @@
     is_loaded: bool,
 }
 
+/// A stream that began on a connection that is newer than the last list of targets.
+#[derive(Debug)]
+struct UncertainOrigin {
+    stream: StreamId,
+    service: QualifiedName,
+    target: Name,
+    version: Name,
+    opened_at: Instant,
+}
+
+impl State {
+    /// Makes the origins certain that the lists of targets confirm, and forgets those that are decided.
+    fn confirm_origins(&mut self) {
+        let Self { origins, confirmed, uncertain, confirmed_at, .. } = self;
+        uncertain.retain(|it| {
+            if confirmed.version_after(&it.service, &it.target, it.opened_at) == Some(&it.version) {
+                origins.confirm(it.stream);
+            }
+            *confirmed_at < Some(it.opened_at)
+        });
+    }
+}
+
 impl FoundOrigin {
     fn recorded(origin: RecordedOrigin, source: OriginSource) -> Self {
         let RecordedOrigin { version, target } = origin;
         Self { version, target, source }
     }
 
-    /// Returns whether the target that began the stream is listed with another version.
-    fn has_other_version_now(&self, cx: &Shared, service: &QualifiedName) -> bool {
-        let entry = self.target.as_ref().and_then(|it| cx.directory.entry(service, it));
+    /// Returns whether the target that began the stream may have had another version.
+    fn is_doubtful(&self, cx: &Shared, service: &QualifiedName) -> bool {
+        let Some(target) = &self.target else { return false };
+        let entry = cx.directory.entry(service, target);
         entry.is_some_and(|it| it.version != self.version)
+            || cx.streams.lock().confirmed.has_had_other_version(service, target, &self.version)
     }
 }
 
@@ -163,16 +199,23 @@
         }
     }
 
-    /// Records that a target of a version sent the first event of a stream.
+    /// Records that a target of a version sent the first event of a stream, on a connection that was opened at `opened_at`.
     pub fn record(
         &self,
         cx: &Shared,
         service: &QualifiedName,
         stream: StreamId,
         origin: &RecordedOrigin,
+        opened_at: Instant,
     ) {
         let now = cx.clock.now();
         let mut state = self.lock();
+        if let Some(target) = origin.target.clone()
+            && state.uncertain.len() < MAX_UNCERTAIN
+        {
+            let (service, version) = (service.clone(), origin.version.clone());
+            state.uncertain.push(UncertainOrigin { stream, service, target, version, opened_at });
+        }
         state.origins.record(now, stream, service.clone(), origin.clone());
         // Another instance may know of versions that this one has not heard of yet. While it seems that there is only one, a second
         // holder is not worth its messages: if the first one is lost, the list of targets tells the version.
@@ -216,11 +259,11 @@
         }
         // The instance that placed the stream may not have heard of the other version, so either one may have begun it.
         search.origin = search.origin.filter(|it| {
-            let has_changed = it.has_other_version_now(cx, taken_up.service);
-            if has_changed {
-                info!(cx.log, "target of a stream has another version now"; "target" => ?it.target, "recorded" => %it.version);
+            let is_doubtful = it.is_doubtful(cx, taken_up.service);
+            if is_doubtful {
+                info!(cx.log, "target of a stream has had another version"; "target" => ?it.target, "recorded" => %it.version);
             }
-            !has_changed
+            !is_doubtful
         });
         search.waited = arrived.elapsed();
         search
@@ -252,8 +295,8 @@
             }
             let is_cut_off =
                 replies == HolderReplies::Unreachable && !cx.platform_store().reaches_service();
-            if !is_cut_off
-                && self.confirm_targets(cx, arrived, limit).await
+            let is_confirmed = !is_cut_off && self.confirm_targets(cx, arrived, limit).await;
+            if is_confirmed
                 && let Some(version) = self.only_version(service, cx.clock.now(), max_age)
             {
                 let source = OriginSource::OnlyVersion;
@@ -263,6 +306,8 @@
                 HolderReplies::Incomplete => limit,
                 _ if is_new => limit,
                 HolderReplies::Unreachable => limit.min(RECONNECT_TIME),
+                // A read over a connection that was cut fails at once, and the next one may succeed.
+                HolderReplies::Unknown if !is_confirmed => limit,
                 HolderReplies::Known(_) | HolderReplies::Unknown => Duration::ZERO,
             };
             if arrived.elapsed() >= max_wait {
@@ -273,9 +318,13 @@
     }
 
     /// Records that the targets which this instance knows include all that the store knew at this time.
-    pub fn confirm(&self, at: Instant) {
+    pub fn confirm(&self, cx: &Shared, at: Instant) {
+        let table = cx.directory.snapshot();
         let mut state = self.lock();
+        let listed = table.listed().map(|(it, entry)| (&it.service, &it.target, &entry.version));
+        state.confirmed.observe(at, listed);
         state.confirmed_at = state.confirmed_at.max(Some(at));
+        state.confirm_origins();
         drop(state);
         self.read_ended.notify(usize::MAX);
     }
@@ -285,9 +334,15 @@
         self.read_ended.notify(usize::MAX);
     }
 
-    /// Returns whether the known targets include all that the store knew at `since`.
-    pub(crate) fn are_targets_confirmed(&self, since: Instant) -> bool {
-        self.lock().confirmed_at >= Some(since)
+    /// Returns the version of a target in the first current list at `since` or later; `None` if there is none, or it does not name the
+    /// target.
+    pub(crate) fn confirmed_version(
+        &self,
+        service: &QualifiedName,
+        target: &Name,
+        since: Instant,
+    ) -> Option<Name> {
+        self.lock().confirmed.version_after(service, target, since).cloned()
     }
 
     /// Records that targets may have come and gone without this instance having heard of them.
@@ -442,6 +497,9 @@
 async fn ask_holders(cx: &Shared, stream: StreamId) -> HolderReplies {
     let Some(peers) = cx.peers.get() else { return HolderReplies::Unreachable };
     let mut holders = holders(&cx.item_runners(), stream);
+    if holders.is_empty() {
+        return HolderReplies::Unreachable;
+    }
     // The records of this instance have been searched.
     holders.retain(|it| *it != cx.settings.instance);
     let mut asked: FuturesUnordered<_> =
@@ -455,22 +513,30 @@
             OriginReply::Unreachable => unreachable += 1,
         }
     }
-    match unanswered + unreachable {
-        _ if unreachable == holders.len() => HolderReplies::Unreachable,
-        0 => HolderReplies::Unknown,
-        _ => HolderReplies::Incomplete,
+    match (unanswered, unreachable) {
+        (0, 0) => HolderReplies::Unknown,
+        (0, _) => HolderReplies::Unreachable,
+        (_, _) => HolderReplies::Incomplete,
     }
 }
 
 /// Reads the registered targets whenever a caller's stream needs it, one read at a time, until the daemon stops.
 pub async fn read_targets(cx: Arc<Shared>) {
     let requests = cx.streams.reads.1.clone();
+    let mut retry_delay = MIN_READ_INTERVAL;
     while requests.recv().await.is_ok() {
         let began_at = Instant::now();
-        if let Err(e) = cx.platform_store().catch_up_with_targets().await {
-            debug!(cx.log, "targets not read"; "error" => %e);
-            cx.streams.record_failed_read(began_at);
-            task::sleep(READ_RETRY_DELAY).await;
+        match cx.platform_store().catch_up_with_targets().await {
+            Ok(()) => {
+                retry_delay = MIN_READ_INTERVAL;
+                task::sleep(MIN_READ_INTERVAL.saturating_sub(began_at.elapsed())).await;
+            }
+            Err(e) => {
+                debug!(cx.log, "targets not read"; "error" => %e);
+                cx.streams.record_failed_read(began_at);
+                task::sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(MAX_READ_RETRY_DELAY);
+            }
         }
     }
 }
--- a/crates/borageshed/tests/versions.rs
+++ b/crates/borageshed/tests/versions.rs
@@ -297,6 +297,9 @@
         reply.is_ok_and(|it| it.event_data().len() == 6)
     };
     wait_until("a whole stream", is_whole).await?;
+    // The instance reads the targets for a take-up, after which it is certain that version 1 began the stream.
+    let goes_on = async || take_up(site.callers(), "sure", "r-1").await.status == 200;
+    wait_until("the stream goes on", goes_on).await?;
     Ok(site)
 }
 
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -37,11 +37,11 @@
 }
 
 value_type! {
-    /// Which target began a stream, as far as the instance that placed it knew.
+    /// Which version began a stream, as far as the instance that placed it knew.
     pub struct RecordedOrigin {
         /// The version.
         pub version: Name,
-        /// The target; `None` if it was recorded without one.
+        /// The target, if it is not certain that it had this version: it may have started again without the instance having heard of it.
         pub target: Option<Name>,
     }
 }
@@ -238,6 +238,13 @@
         }
     }
 
+    /// Records that the version that began a stream has become certain.
+    pub fn confirm(&mut self, stream: StreamId) {
+        if let Some(origin) = self.origins.get_mut(&stream) {
+            origin.recorded.target = None;
+        }
+    }
+
     /// Returns which target began a stream, if it is known.
     pub fn origin(&self, stream: StreamId) -> Option<&RecordedOrigin> {
         self.origins.get(&stream).map(|it| &it.recorded)
