Reword comments on the versions of streams

Found when reading the change as a newcomer: a long line, a claim about outages that no longer holds, and a doc comment that could be misread.

--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -169,7 +169,7 @@
                 debug!(cx.log, "item put off"; "request" => &call.request_id, "reason" => ?refusal.reason);
                 admission.refused();
                 if refusal.reason == Reason::NoTargetOfVersion {
-                    // What has arrived does not fit to the output of the versions that are left.
+                    // What has arrived does not continue at the versions that are left.
                     *output.lock() = EventData::default();
                 }
                 return AttemptOutcome::Refused(refusal.retry_after);
--- a/crates/borageshed/src/peers/streams.rs
+++ b/crates/borageshed/src/peers/streams.rs
@@ -12,7 +12,7 @@
 /// What a daemon says about the version that began a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginReply {
-    /// The stream began there.
+    /// The daemon has a record of the stream.
     Known(RecordedOrigin),
     /// The daemon does not know the stream.
     Unknown,
--- a/crates/borageshed/src/streams.rs
+++ b/crates/borageshed/src/streams.rs
@@ -2,8 +2,11 @@
 //! takes it up at.
 //!
 //! Each instance tells a daemon that runs items which version began a stream, and a second one while several versions serve; these
-//! daemons usually survive the loss of all instances that admit callers, and they answer while the key-value service does not. Which versions have served lately is also stored in the
+//! daemons usually survive the loss of all instances that admit callers. Which versions have served lately is also stored in the
 //! key-value service: an instance that starts cannot see which version has just left.
+//!
+//! What is known of the targets may be old. It is read again when a decision needs it, and each current list is remembered for a while,
+//! since the first one after a connection was opened tells the version of the process that answers on it.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -49,7 +52,6 @@
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest delay after a read that failed; the first one is [`MIN_READ_INTERVAL`].
 const MAX_READ_RETRY_DELAY: Duration = Duration::from_millis(800);
-
 /// How long one read of the targets may take, however late its caller comes.
 const MIN_READ_TIME: Duration = Duration::from_millis(100);
 
