--- a/review/kit-2/kit2.py
+++ b/review/kit-2/kit2.py
@@ -284,6 +284,12 @@
         self.slots, self.pause, self.events, self.running, self.seq = slots, pause, events, 0, 0
         self.state, self.reached, self.ran = "ready", [], []
         self.events_of = lambda path: self.events
+        self.health_path = "/health"
+        # Connections that were opened before this time send nothing any more, and nothing that arrives on them is read.
+        self.silent_before = 0.0
+        # The status with which a share of the requests that were run fail, and that share.
+        self.fails = None
+        self.failing = 0.0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -303,10 +309,14 @@
         return [("X-Server-Load", f"{self.running},0,{self.slots}")]
 
     async def serve(self, reader, writer):
+        opened = now()
+        writer.is_silent = lambda: opened < self.silent_before
         try:
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
+                if writer.is_silent():
+                    await asyncio.sleep(3600)
                 method, path, _ = first.split(" ")
                 if not await self.respond(reader, writer, method, path, headers, body):
                     return
@@ -318,7 +328,7 @@
     async def respond(self, reader, writer, method, path, headers, body):
         request = headers.get("x-request-id", "")
         echo = [("X-Request-Id", request)]
-        if path == "/health":
+        if path == self.health_path:
             writer.write(answer_bytes(200, b"", [("X-Instance-Id", self.id)] + echo + self.load()))
             return True
         if path == "/v1/report":
@@ -335,7 +345,7 @@
             writer.write(answer_bytes(503, b"", echo + [("X-Not-Run", "1")] + self.load()))
             return True
         self.running += 1
-        run = {"id": request, "at": now(), "path": path, "end": None, "ended": "cut", "headers": headers}
+        run = {"id": request, "at": now(), "method": method, "path": path, "end": None, "ended": "cut", "headers": headers}
         self.ran.append(run)
         gone = asyncio.create_task(reader.read(1))
         try:
@@ -343,10 +353,30 @@
                     ("X-Server-Stamp", f"{self.id}.{len(self.ran)}")] + echo + self.load()
             text = "\r\n".join(["HTTP/1.1 200 OK"] + [f"{n}: {v}" for n, v in head]) + "\r\n\r\n"
             begin = int(headers.get("last-event-id", "0")) + 1
+            if self.fails and method == "POST":
+                status, share = self.fails
+                self.failing += share
+                if self.failing >= 1:
+                    self.failing -= 1
+                    await asyncio.sleep(self.pause)
+                    stamp = ("X-Server-Stamp", f"{self.id}.{len(self.ran)}")
+                    writer.write(answer_bytes(status, b"the step after the first one failed", echo + [stamp] + self.load()))
+                    await writer.drain()
+                    run["ended"] = f"answered {status}"
+                    gone.cancel()
+                    try:
+                        await gone
+                    except asyncio.CancelledError:
+                        pass
+                    return True
             for n in range(begin, self.events_of(path) + 1):
                 done, _ = await asyncio.wait([gone], timeout=self.pause)
                 if done:
                     return False
+                while writer.is_silent():
+                    await asyncio.sleep(0.05)
+                    if gone.done():
+                        return False
                 event = f"id: {n}\ndata: {request}.{n}\n\n".encode()
                 writer.write((text.encode() if n == begin else b"") + f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
@@ -469,9 +499,9 @@
 HOST = "shop.example"
 
 
-def config(version, routes, tenants=None):
+def config(version, routes, tenants=None, health_path="/health"):
     return {
-        "version": version, "routes": routes, "services": [{"name": "engine", "health_path": "/health"}],
+        "version": version, "routes": routes, "services": [{"name": "engine", "health_path": health_path}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": tenants or [{"name": "acme", "api_keys": [KEY]}],
     }
