--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,6 +10,7 @@
 from kit2 import call, client_headers, now, route
 
 ORDERS = 60
+GREY_S = 6.0
 SHARE = 0.4
 PROMISES = (408, 421, 429, 503)
 
@@ -17,7 +18,7 @@
 async def case(record, trouble):
     fleet = kit2.Deployment(record, fronts=2, storages=1)
     servers = [kit2.Server(record, fleet.store, f"i-{n}", "engine", f"zone-{'abc'[n % 3]}", slots=8, pause=0.03, events=1)
-               for n in range(6)]
+               for n in range(7)]
     try:
         for it in servers:
             await it.start()
@@ -56,8 +57,13 @@
         if got and got.status in PROMISES:
             await asyncio.sleep(0.3)
             await order(fleet.fronts[(number + 1) % 2].front, f"order{number}.2")
+    grey_until = now() + GREY_S
     for number in range(ORDERS):
         await asyncio.gather(client(number), asyncio.sleep(0.1))
+        if now() > grey_until - 0.5:
+            break
+    servers[0].fails = None
+    record("the server fails no more requests")
     await asyncio.sleep(1.0)
 
     runs = {}
--- a/review/kit-2/kit2.py
+++ b/review/kit-2/kit2.py
@@ -290,12 +290,22 @@
         # The status with which a share of the requests that were run fail, and that share.
         self.fails = None
         self.failing = 0.0
+        self.writers = set()
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
         self.beat = asyncio.create_task(self.register())
 
+    async def crash(self):
+        """Ends at once. The entry is removed after three heartbeat intervals of silence."""
+        self.beat.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            reset(writer)
+        await asyncio.sleep(3.6)
+        self.store.txn({"remove": [f"servers/{self.id}"]})
+
     async def register(self):
         while True:
             self.seq += 1
@@ -310,6 +320,7 @@
 
     async def serve(self, reader, writer):
         opened = now()
+        self.writers.add(writer)
         writer.is_silent = lambda: opened < self.silent_before
         try:
             while True:
@@ -323,6 +334,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def respond(self, reader, writer, method, path, headers, body):
@@ -499,9 +511,9 @@
 HOST = "shop.example"
 
 
-def config(version, routes, tenants=None, health_path="/health"):
+def config(version, routes, tenants=None, health_path="/health", services=None):
     return {
-        "version": version, "routes": routes, "services": [{"name": "engine", "health_path": health_path}],
+        "version": version, "routes": routes, "services": services or [{"name": "engine", "health_path": health_path}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": tenants or [{"name": "acme", "api_keys": [KEY]}],
     }
