Stop items of jobs that began and ended in an outage of the index

Cause: the worker learned of the job from the daemon that handed it over, and was to learn of its end from its copy of the index. The entry was written and removed while the copy could not be read, so a comparison of the listings showed nothing. The follower of entries dropped the notice that changes may have been missed, and a listing did not say whether a job that it lacks is newer.

Change: a gap is reported only together with a listing, so no follower can ignore it. The plan of claims compares revisions: a job has ended if the index is complete up to its acceptance and lacks it. This covers hand-overs that come late or twice, and keeps a job that is newer than a listing while it is claimed. A claim that finds the job ended closes it instead of being repeated every 3 s.

Why it works: once the copy is complete past the end of a job, the job is either listed or closed, whatever the order of the hand-over, the end, the outage and the answer to the claim; claim_orders.rs draws 2,000 such orders.

Those of claim_plan.rs and claim_orders.rs need the new interface; claim_orders.rs fails if either comparison of revisions is taken out. a_claimed_job_that_is_newer_than_the_listing_is_claimed_again demanded a second claim of a job that is still claimed; the test in its place demands that the first claim is used. The end of job-3 in a_job_that_ends_while_it_is_claimed_is_not_run is unknown because it is now accepted after the listing.

--- a/crates/borageshed/src/job_work/claim_plan.rs
+++ b/crates/borageshed/src/job_work/claim_plan.rs
@@ -2,6 +2,9 @@
 //!
 //! Every daemon that runs items learns of each job, possibly several times: from the daemon that accepted it, from the index
 //! and from listings after an outage. The plan makes sure that a job nevertheless usually costs one claim.
+//!
+//! A job can be known from a daemon that handed it over while its end is known from the index alone. The plan therefore compares
+//! revisions: a job that was open at a revision has ended if the index, complete to that revision or a later one, lacks it.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -9,6 +12,7 @@
 };
 
 use jobs::{Discovery, JobId, OpenJob, claim};
+use kv_store::Revision;
 use stdx::{Name, Timestamp};
 
 use super::{claiming::HandedOverJob, index::IndexChange};
@@ -28,6 +32,10 @@
 pub struct ClaimPlan {
     own_name: Name,
     open: BTreeMap<JobId, OpenJob>,
+    /// The jobs in `open` that were handed over and that the index has not shown, with a revision at which they were open.
+    unlisted: BTreeMap<JobId, Revision>,
+    /// The revision up to which all changes of the index have been reported.
+    complete_to: Revision,
     /// When and how the unfinished jobs were discovered.
     discoveries: BTreeMap<JobId, Discovery>,
     /// The claimed jobs and their owners.
@@ -55,12 +63,25 @@
     pub discovery: Discovery,
 }
 
+/// What became of a job that was handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HandOver {
+    /// The job is unfinished and will be claimed.
+    Added,
+    /// This daemon runs the job, or the index names its owner.
+    AlreadyClaimed,
+    /// The index shows that the job has ended.
+    AlreadyEnded,
+}
+
 impl ClaimPlan {
     /// Creates a plan without jobs.
     pub fn new(own_name: Name) -> Self {
         Self {
             own_name,
             open: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
+            complete_to: Revision(0),
             discoveries: BTreeMap::new(),
             claimed: BTreeMap::new(),
             handed_over: BTreeMap::new(),
@@ -70,17 +91,24 @@
         }
     }
 
-    /// Adds a job that was handed over, unless it is already claimed.
-    pub fn hand_over(&mut self, now: Timestamp, handed_over: HandedOverJob) {
+    /// Adds a job that was handed over, unless it is already claimed or has ended.
+    pub fn hand_over(&mut self, now: Timestamp, handed_over: HandedOverJob) -> HandOver {
         let id = handed_over.id.clone();
         if self.running.contains(&id) || self.claimed.contains_key(&id) {
-            return;
+            return HandOver::AlreadyClaimed;
+        }
+        if !self.open.contains_key(&id) {
+            if handed_over.revision <= self.complete_to {
+                return HandOver::AlreadyEnded;
+            }
+            self.unlisted.insert(id.clone(), handed_over.revision);
         }
         self.open.insert(id.clone(), handed_over.open.clone());
         self.handed_over.insert(id.clone(), handed_over);
         self.discoveries.entry(id.clone()).or_insert(Discovery { at: now, is_fresh: true });
         // A job is handed over to its preferred owner, which claims it without delay.
         self.claim_at.insert(id, now);
+        HandOver::Added
     }
 
     /// Applies a change of the index; returns the jobs that this daemon runs and that have ended.
@@ -91,21 +119,19 @@
         runners: &BTreeSet<Name>,
     ) -> Vec<JobId> {
         match change {
-            IndexChange::Listed { open, claimed } => {
-                return self.on_listing(now, open, claimed, runners);
+            IndexChange::Listed { open, claimed, revision } => {
+                return self.on_listing(now, open, claimed, revision, runners);
             }
+            IndexChange::CompleteTo(revision) => return self.on_complete_to(revision),
             IndexChange::Opened(id, job) => {
+                self.unlisted.remove(&id);
                 self.discoveries.entry(id.clone()).or_insert(Discovery { at: now, is_fresh: true });
                 if self.open.insert(id.clone(), job).is_none() {
                     self.schedule_claim(now, id, runners);
                 }
             }
             IndexChange::Closed(id) => {
-                self.open.remove(&id);
-                self.claim_at.remove(&id);
-                self.handed_over.remove(&id);
-                self.discoveries.remove(&id);
-                self.claiming.remove(&id);
+                self.close(&id);
                 return if self.running.contains(&id) { vec![id] } else { Vec::new() };
             }
             IndexChange::Claimed(id, owner) => {
@@ -123,6 +149,16 @@
         Vec::new()
     }
 
+    /// Records that a job has ended, whatever the index has reported.
+    pub fn close(&mut self, id: &JobId) {
+        self.open.remove(id);
+        self.unlisted.remove(id);
+        self.claim_at.remove(id);
+        self.handed_over.remove(id);
+        self.discoveries.remove(id);
+        self.claiming.remove(id);
+    }
+
     /// Removes and returns the jobs whose claim is due.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<DueClaim> {
         let due: Vec<JobId> =
@@ -141,9 +177,8 @@
 
     /// Records that a claim is no longer in progress; returns whether a job that was claimed should be run.
     ///
-    /// The job should not run if the index reported its end before the outcome of the claim was known, which happens if the
-    /// answer to the claim was lost and the outcome had to be read. A job that is missing from a listing may be newer than the
-    /// listing; it is claimed again as soon as the index reports it.
+    /// The job should not run if its end was reported before the outcome of the claim was known, which happens if the answer to
+    /// the claim was lost and the outcome had to be read.
     pub fn finish_claim_call(&mut self, id: &JobId) -> bool {
         self.claiming.remove(id)
     }
@@ -193,27 +228,38 @@
         now: Timestamp,
         open: BTreeMap<JobId, OpenJob>,
         claimed: BTreeMap<JobId, Name>,
+        revision: Revision,
         runners: &BTreeSet<Name>,
     ) -> Vec<JobId> {
         let discovery = Discovery { at: now, is_fresh: false };
         for id in open.keys() {
             self.discoveries.entry(id.clone()).or_insert(discovery);
         }
-        let ended = self.running.iter().filter(|it| !open.contains_key(*it)).cloned().collect();
-        self.open = open;
+        self.complete_to = self.complete_to.max(revision);
+        // What the listing lacks has ended, unless it was open later than the listing.
+        self.unlisted.retain(|id, open_at| !open.contains_key(id) && *open_at > self.complete_to);
+        let known = std::mem::replace(&mut self.open, open);
+        self.open.extend(known.into_iter().filter(|it| self.unlisted.contains_key(&it.0)));
         self.claimed = claimed;
-        // A job that was just handed over may be newer than the listing.
-        self.handed_over.retain(|it, _| self.claim_at.contains_key(it));
-        for (id, handed_over) in &self.handed_over {
-            self.open.entry(id.clone()).or_insert_with(|| handed_over.open.clone());
-        }
         self.claim_at.retain(|it, _| self.open.contains_key(it));
+        self.handed_over.retain(|it, _| self.claim_at.contains_key(it));
         self.claiming.retain(|it| self.open.contains_key(it));
         self.discoveries.retain(|it, _| self.open.contains_key(it));
-        for id in self.open.keys().cloned().collect::<Vec<_>>() {
+        // The outcome of a claim in progress decides whether there is another one.
+        let unclaimed = self.open.keys().filter(|it| !self.claiming.contains(*it));
+        for id in unclaimed.cloned().collect::<Vec<_>>() {
             self.schedule_claim(now, id, runners);
         }
-        ended
+        self.running.iter().filter(|it| !self.open.contains_key(*it)).cloned().collect()
+    }
+
+    /// Closes the jobs that the index, complete to a revision, should have shown; returns those that this daemon runs.
+    fn on_complete_to(&mut self, revision: Revision) -> Vec<JobId> {
+        self.complete_to = self.complete_to.max(revision);
+        let ended = self.unlisted.extract_if(.., |_, open_at| *open_at <= self.complete_to);
+        let ended: Vec<JobId> = ended.map(|it| it.0).collect();
+        ended.iter().for_each(|it| self.close(it));
+        ended.into_iter().filter(|it| self.running.contains(it)).collect()
     }
 
     fn schedule_claim(&mut self, now: Timestamp, id: JobId, runners: &BTreeSet<Name>) {
--- a/crates/borageshed/src/job_work/claiming.rs
+++ b/crates/borageshed/src/job_work/claiming.rs
@@ -24,8 +24,9 @@
     pub id: JobId,
     /// Its entry in the index of unfinished jobs.
     pub open: OpenJob,
+    /// The revision at which the job was accepted.
+    pub revision: Revision,
     record: JobRecord,
-    revision: Revision,
     items: Vec<Item>,
 }
 
@@ -53,6 +54,17 @@
     }
 }
 
+/// What a claim found.
+#[derive(Debug)]
+pub enum ClaimOutcome {
+    /// The job is claimed by this daemon.
+    Claimed(Box<ClaimedJob>),
+    /// Another daemon has claimed the job.
+    ClaimedElsewhere,
+    /// The job has ended.
+    Ended,
+}
+
 /// A job that this daemon has just claimed.
 #[derive(Debug)]
 pub struct ClaimedJob {
@@ -72,21 +84,22 @@
     lease: LeaseId,
     handed_over: HandedOverJob,
     discovery: Discovery,
-) -> kv_store::Result<Option<ClaimedJob>> {
+) -> kv_store::Result<ClaimOutcome> {
     let HandedOverJob { id, open, record, revision, items } = handed_over;
     let transaction = claim::first_claim(&id, &cx.settings.instance, lease, revision);
     match cx.store.commit(&transaction).await? {
         CommitOutcome::Won(_) => {
             let times = job_times(cx, &record, discovery);
             let run = JobRun::new(id, record, revision, open.route, items, Vec::new(), times);
-            Ok(Some(ClaimedJob { run, checkpoint: Checkpoint::default() }))
+            let claimed = ClaimedJob { run, checkpoint: Checkpoint::default() };
+            Ok(ClaimOutcome::Claimed(Box::new(claimed)))
         }
         CommitOutcome::Lost(_) => claim(cx, &id, lease, open.route, discovery).await,
         CommitOutcome::Unknown => Err(unconfirmed_claim()),
     }
 }
 
-/// Claims a job and reads its stored data; returns `None` if another daemon has claimed it or it has ended.
+/// Claims a job and reads its stored data, unless another daemon has claimed it or it has ended.
 ///
 /// # Errors
 ///
@@ -97,21 +110,21 @@
     lease: LeaseId,
     route: Name,
     discovery: Discovery,
-) -> kv_store::Result<Option<ClaimedJob>> {
+) -> kv_store::Result<ClaimOutcome> {
     let own = &cx.settings.instance;
     let mut known = cx.store.get(&id.record_key()).await?;
     let mut claimed_at = Revision(0);
     for _ in 0..MAX_CLAIM_ATTEMPTS {
-        let Some(entry) = known else { return Ok(None) };
+        let Some(entry) = known else { return Ok(ClaimOutcome::Ended) };
         let record = decode_record(&entry)?;
         if record.is_ended() {
-            return Ok(None);
+            return Ok(ClaimOutcome::Ended);
         }
         let takeover =
             claim::takeover(id, own, lease, claimed_at, entry.mod_revision, &entry.value);
         let entries = match cx.store.commit(&takeover).await? {
             CommitOutcome::Won(revision) => {
-                return load(cx, id, record, revision, route, discovery).await.map(Some);
+                return load(cx, id, record, revision, route, discovery).await;
             }
             CommitOutcome::Unknown => return Err(unconfirmed_claim()),
             CommitOutcome::Lost(entries) => entries,
@@ -124,12 +137,13 @@
             (ClaimState::Held, Some(entry)) => {
                 let record = decode_record(entry)?;
                 if record.is_ended() {
-                    return Ok(None);
+                    return Ok(ClaimOutcome::Ended);
                 }
                 let revision = entry.mod_revision;
-                return load(cx, id, record, revision, route, discovery).await.map(Some);
+                return load(cx, id, record, revision, route, discovery).await;
             }
-            (ClaimState::Held | ClaimState::Foreign, _) => return Ok(None),
+            (ClaimState::Held, None) => return Ok(ClaimOutcome::Ended),
+            (ClaimState::Foreign, _) => return Ok(ClaimOutcome::ClaimedElsewhere),
             (ClaimState::Former(revision), _) => revision,
             // The record has changed since it was read.
             (ClaimState::Free, _) => Revision(0),
@@ -162,7 +176,7 @@
     revision: Revision,
     route: Name,
     discovery: Discovery,
-) -> kv_store::Result<ClaimedJob> {
+) -> kv_store::Result<ClaimOutcome> {
     let mut items = Vec::with_capacity(record.total);
     for part in cx.store.range(&id.parts_prefix()).await?.entries {
         items.extend(model::items_of_part(&part.value).map_err(|e| decode_error(&part.key, &e))?);
@@ -173,7 +187,8 @@
     };
     let times = job_times(cx, &record, discovery);
     let run = JobRun::new(id.clone(), record, revision, route, items, stored, times);
-    Ok(ClaimedJob { run, checkpoint: read_checkpoint(cx, id).await? })
+    let checkpoint = read_checkpoint(cx, id).await?;
+    Ok(ClaimOutcome::Claimed(Box::new(ClaimedJob { run, checkpoint })))
 }
 
 /// Reads the stored partial outputs. Without them, items run from the start, so a value that cannot be decoded does no harm.
--- a/crates/borageshed/src/job_work/index.rs
+++ b/crates/borageshed/src/job_work/index.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jobs::{JobId, OpenJob, key::INDEX_PREFIX};
+use kv_store::Revision;
 use platform::mirror::{EntryChange, WatchTiming};
 use slog::{info, warn};
 use stdx::Name;
@@ -19,12 +20,14 @@
 /// A change of the index or of the claims.
 #[derive(Debug)]
 pub enum IndexChange {
-    /// All unfinished jobs and all claims.
+    /// All unfinished jobs and all claims. Replaces all earlier changes, some of which may have been missed.
     Listed {
         /// The unfinished jobs.
         open: BTreeMap<JobId, OpenJob>,
         /// The claimed jobs and their owners.
         claimed: BTreeMap<JobId, Name>,
+        /// The revision of the key-value service up to which the listing is complete.
+        revision: Revision,
     },
     /// A job was accepted, or its index entry was rewritten.
     Opened(JobId, OpenJob),
@@ -34,6 +37,8 @@
     Claimed(JobId, Name),
     /// A claim was removed, or its lease ended.
     ClaimEnded(JobId),
+    /// All changes up to this revision of the key-value service have been reported.
+    CompleteTo(Revision),
 }
 
 /// Follows the index of unfinished jobs and their claims until `on_change` returns `false`.
@@ -42,11 +47,12 @@
     store
         .follow_entries(INDEX_PREFIX, INDEX_WATCH_TIMING, |change| {
             let change = match change {
-                EntryChange::Listed(entries) => {
+                EntryChange::Listed { entries, revision } => {
                     let open = entries.iter().filter_map(|it| decode_open_job(&cx, it)).collect();
                     let claimed = entries.iter().filter_map(decode_claim).collect();
-                    Some(IndexChange::Listed { open, claimed })
+                    Some(IndexChange::Listed { open, claimed, revision })
                 }
+                EntryChange::CompleteTo(revision) => Some(IndexChange::CompleteTo(revision)),
                 EntryChange::Written(entry) => written_change(&cx, &entry),
                 EntryChange::Removed(key) => removed_change(&key),
                 EntryChange::Damaged(e) => {
--- a/crates/borageshed/src/job_work/worker.rs
+++ b/crates/borageshed/src/job_work/worker.rs
@@ -14,7 +14,7 @@
 use super::{
     call::item_call,
     claim_plan::{ClaimPlan, DueClaim},
-    claiming::{self, ClaimedJob, HandedOverJob},
+    claiming::{self, ClaimOutcome, ClaimedJob, HandedOverJob},
     group::ClaimedId,
     index::{self, IndexChange},
     item::{self, DispatchTerms, SharedOutput},
@@ -45,7 +45,7 @@
 enum Event {
     Index(IndexChange),
     Lease(LeaseEvent),
-    Claimed { id: JobId, lease: LeaseId, claimed: Option<Box<ClaimedJob>> },
+    Claimed { id: JobId, lease: LeaseId, outcome: ClaimOutcome },
     NotClaimed { id: JobId },
     ItemPlaced,
     ItemEnded { id: JobId, claim: u64, index: usize, ended: Box<item::RunResult> },
@@ -161,7 +161,7 @@
                 let given_up: Vec<JobId> = self.own_jobs.keys().cloned().collect();
                 given_up.into_iter().for_each(|it| self.drop_and_reclaim(&it, "lease lost"));
             }
-            Event::Claimed { id, lease, claimed } => self.on_claimed(id, lease, claimed),
+            Event::Claimed { id, lease, outcome } => self.on_claimed(id, lease, outcome),
             Event::NotClaimed { id } => {
                 self.plan.finish_claim_call(&id);
                 self.plan.retry(self.cx.clock.now(), &id);
@@ -172,9 +172,7 @@
             }
             Event::Committed { jobs, outcome } => self.on_committed(jobs, outcome),
             Event::ProgressRead { job, entries } => self.on_progress_read(&job, &entries),
-            Event::HandedOver(handed_over) => {
-                self.plan.hand_over(self.cx.clock.now(), *handed_over)
-            }
+            Event::HandedOver(handed_over) => self.on_handed_over(*handed_over),
             Event::Question(question) => self.readers.ask(self.cx.clock.now(), question),
             Event::Tick => self.has_slack = self.waiting_items_have_slack(self.cx.clock.now()),
         }
@@ -190,6 +188,15 @@
         self.run_times.has_slack(items, slots, now)
     }
 
+    fn on_handed_over(&mut self, handed_over: HandedOverJob) {
+        let (id, revision) = (handed_over.id.clone(), handed_over.revision);
+        let outcome = self.plan.hand_over(self.cx.clock.now(), handed_over);
+        debug!(
+            self.cx.log, "job handed over to this daemon";
+            "job" => id.as_str(), "revision" => revision.0, "outcome" => ?outcome
+        );
+    }
+
     fn on_index(&mut self, change: IndexChange) {
         let runners = self.cx.item_runners();
         for id in self.plan.on_change(self.cx.clock.now(), change, &runners) {
@@ -251,11 +258,9 @@
                         None => claiming::claim(&cx, &id, lease, route, discovery).await,
                     }
                 };
-                let Some(claimed) = contain(&cx.log, id.as_str(), claim).await else { return };
-                match claimed {
-                    Ok(claimed) => {
-                        end.send(Event::Claimed { id, lease, claimed: claimed.map(Box::new) });
-                    }
+                let Some(outcome) = contain(&cx.log, id.as_str(), claim).await else { return };
+                match outcome {
+                    Ok(outcome) => end.send(Event::Claimed { id, lease, outcome }),
                     Err(e) => {
                         debug!(cx.log, "job not claimed"; "job" => id.as_str(), "error" => %e);
                     }
@@ -264,14 +269,21 @@
         }
     }
 
-    fn on_claimed(&mut self, id: JobId, lease: LeaseId, claimed: Option<Box<ClaimedJob>>) {
+    fn on_claimed(&mut self, id: JobId, lease: LeaseId, outcome: ClaimOutcome) {
         let is_wanted = self.plan.finish_claim_call(&id);
         let now = self.cx.clock.now();
-        // If nothing was claimed, another daemon claimed the job first or the job has ended.
-        let Some(claimed) = claimed else {
-            debug!(self.cx.log, "job is claimed by another daemon or has ended"; "job" => id.as_str());
-            self.plan.on_claimed_elsewhere(now, &id);
-            return;
+        let claimed = match outcome {
+            ClaimOutcome::Claimed(claimed) => claimed,
+            ClaimOutcome::ClaimedElsewhere => {
+                debug!(self.cx.log, "job is claimed by another daemon"; "job" => id.as_str());
+                self.plan.on_claimed_elsewhere(now, &id);
+                return;
+            }
+            ClaimOutcome::Ended => {
+                debug!(self.cx.log, "job to claim has ended"; "job" => id.as_str());
+                self.plan.close(&id);
+                return;
+            }
         };
         if !is_wanted {
             info!(self.cx.log, "job ended while it was claimed"; "job" => id.as_str());
--- a/crates/borageshed/src/membership.rs
+++ b/crates/borageshed/src/membership.rs
@@ -108,7 +108,8 @@
     store
         .follow_entries(MEMBERS_PREFIX, WatchTiming::default(), |change| {
             match change {
-                EntryChange::Listed(entries) => {
+                EntryChange::CompleteTo(_) => return true,
+                EntryChange::Listed { entries, .. } => {
                     are_current = true;
                     members = entries.iter().filter_map(|it| decode_member(&cx, it)).collect();
                 }
