Let a relay say at once that its copy has missed changes

Cause: a relay answers a question when its copy changes. A gap in which a key was written and removed changes nothing, so the question waited for its whole time, and a follower was not woken by an answer that only says that there is a gap.

Change: a question states how often the copy had missed changes when it was read before (an optional field on the wire); the relay answers at once if that differs.

--- a/crates/borageshed/src/peers/reads.rs
+++ b/crates/borageshed/src/peers/reads.rs
@@ -129,6 +129,7 @@
         after: question.after.map_or(0, |it| it.changes),
         wait_ms: u32::try_from(question.wait.as_millis()).unwrap_or(u32::MAX),
         at_first_hand: question.from_service_only,
+        gaps: question.gaps,
     }
 }
 
@@ -136,6 +137,7 @@
     Question {
         prefix: Name::new(&req.prefix),
         after: (req.run != 0).then_some(Position { incarnation: req.run, changes: req.after }),
+        gaps: req.gaps,
         wait: Duration::from_millis(u64::from(req.wait_ms)).min(MAX_WAIT),
         from_service_only: req.at_first_hand,
     }
--- a/crates/peer/src/message/reads.rs
+++ b/crates/peer/src/message/reads.rs
@@ -23,6 +23,10 @@
     /// Whether the relay may only answer with data that it read from the service directly.
     #[prost(bool, tag = "6")]
     pub at_first_hand: bool,
+    /// How often the relay's copy had missed changes when it was read before; absent if that is not known. A relay whose copy
+    /// has missed changes since then answers at once.
+    #[prost(uint64, optional, tag = "7")]
+    pub gaps: Option<u64>,
 }
 
 /// The kind of a relay's answer to a read.
