Pass on no status that promises "not run" for a request that may have run

Cause: an answer of a target was passed on with its status, whatever it promises. For refusals of the daemon itself only two of six kinds of problem were kept from promising too much.

Change: Problem::status follows from what is known of the execution. Answers of targets leave as a TargetAnswer alone, which cannot be made with 408, 421, 429 or 503 for a request that is not idempotent; the caller gets 502 without the target's headers, and the log has the target's status. Streams, large answers and stored answers of idempotency keys take the same way, and a promise stored by an earlier version is not replayed.

Why it works: whoever passes on an answer has to make this type, and whoever refuses has to state the execution.

Tests: the_failure_of_a_request_that_may_run_once_promises_nothing fails on (408 where 502 is due); two others need the new types; the_failure_of_an_idempotent_request_is_passed_on_as_it_came passes before and after. burn.rs builds the new type.

The server's own answer to a body that did not arrive said 408 with an execution that is not known. A handler that only reports that it could not read the body has not run the request, so the answer says that now and stays 408 (silent_callers_are_closed_in_time). For the same reason body_over_the_limit_is_answered_with_413 now demands "not_run" for a body in chunks, as it did for one with a length.

--- a/crates/borageshed/src/api/ingress.rs
+++ b/crates/borageshed/src/api/ingress.rs
@@ -214,23 +214,14 @@
     }
 }
 
-/// Builds the answer to a request that the daemon refuses. Callers rely on 429 and 503 to mean that the request did not
-/// run.
+/// Builds the answer to a request that the daemon refuses.
 fn refusal_response(problem: Problem, request_id: &str) -> Response {
-    let (kind, execution) = (problem.kind(), problem.execution());
+    let kind = problem.kind();
     let retry_after = problem.retry_after();
     let mut res = problem.with_request_id(request_id).into_response();
-    match (kind, execution) {
-        // Callers never resend a request after a 4xx status, but these refusals are not the caller's fault.
-        (ProblemKind::PoisonRequest | ProblemKind::Internal, _) => {
-            res.set_status(StatusCode::BadGateway);
-        }
-        (_, Execution::NotRun) => {}
-        // The request may have run, so the status must be neither 503 nor 429.
-        (ProblemKind::Overloaded | ProblemKind::RateLimited, _) => {
-            res.set_status(StatusCode::BadGateway);
-        }
-        _ => {}
+    // Callers never resend a request after a 4xx status, but these refusals are not the caller's fault.
+    if matches!(kind, ProblemKind::PoisonRequest | ProblemKind::Internal) {
+        res.set_status(StatusCode::BadGateway);
     }
     if let Some(delay) = retry_after {
         let seconds = delay.max(MIN_RETRY_AFTER).as_secs_f64();
--- a/crates/borageshed/src/api/mod.rs
+++ b/crates/borageshed/src/api/mod.rs
@@ -76,7 +76,7 @@
 /// Converts the outcome of an online request into an answer.
 pub fn into_answer(ended: Ended, request_id: &str) -> Result<Response> {
     match ended {
-        Ended::Answered(res) => Ok(*res),
+        Ended::Answered(answer) => Ok(answer.into_response()),
         Ended::Refused(problem) => Err(problem.with_request_id(request_id)),
         // The connection is closed, so nobody receives this answer.
         Ended::CallerGone => {
--- a/crates/borageshed/src/burn.rs
+++ b/crates/borageshed/src/burn.rs
@@ -22,7 +22,6 @@
 use stdx::{Name, Timestamp};
 
 use crate::{
-    answer::set_body,
     online::{self, Ended},
     shared::Shared,
 };
@@ -140,7 +139,7 @@
     pub fn classify(ended: &Ended, elapsed: Duration, objective: &Objective) -> Self {
         let in_time = elapsed <= objective.first_byte();
         match ended {
-            Ended::Answered(res) if res.status().is_server_error() => Self::Bad,
+            Ended::Answered(it) if it.response().status().is_server_error() => Self::Bad,
             Ended::Answered(_) if in_time => Self::Good,
             Ended::Answered(_) => Self::Bad,
             Ended::Refused(problem) => match problem.kind() {
@@ -163,9 +162,11 @@
 ) {
     let pending = Pending { cx: Arc::clone(cx), account, service, started };
     match ended {
-        Ended::Answered(res) if online::is_event_stream(res) => {
-            let body = FirstByteObserver { body: res.take_body(), pending: Some(pending) };
-            set_body(res, Body::from_reader(body, None));
+        Ended::Answered(answer) if online::is_event_stream(answer.response()) => {
+            answer.map_body(|body| {
+                let body = FirstByteObserver { body, pending: Some(pending) };
+                Body::from_reader(body, None)
+            });
         }
         ended => pending.count(|elapsed, objective| Verdict::classify(ended, elapsed, objective)),
     }
--- a/crates/borageshed/src/idempotency.rs
+++ b/crates/borageshed/src/idempotency.rs
@@ -9,7 +9,7 @@
 use async_std::task;
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use http_edge::{
-    problem::{Execution, Problem, ProblemKind},
+    problem::{Execution, Problem, ProblemKind, promises_not_run},
     server::Caller,
 };
 use http_types::{Body, Response, StatusCode};
@@ -21,7 +21,7 @@
 use crate::{
     answer::set_body,
     api::{self, into_answer},
-    online::{self, Call, Ended},
+    online::{self, Call, Ended, target_answer::UnfoundedPromise},
     shared::Shared,
 };
 
@@ -92,7 +92,7 @@
     };
     let owned_record = OwnedRecord { cx: Arc::clone(cx), key: store_key, record, revision };
     match online::run(cx, call, caller).await {
-        Ended::Answered(res) => owned_record.store_answer(*res).await,
+        Ended::Answered(answer) => owned_record.store_answer(answer.into_response()).await,
         Ended::Refused(problem) if problem.execution() == Execution::NotRun => {
             owned_record.release().await;
             Err(problem.with_request_id(request_id))
@@ -235,6 +235,9 @@
             };
             let bytes = STANDARD.decode(body).map_err(|_| damaged())?;
             let status = StatusCode::try_from(status).map_err(|_| damaged())?;
+            if promises_not_run(status) {
+                return Err(UnfoundedPromise { status }.into_problem());
+            }
             let mut res = Response::new(status);
             if let Some(content_type) = content_type {
                 res.insert_header("content-type", content_type);
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -20,9 +20,9 @@
     forwarder::{self, AnswerForwarder},
     protocol::{self, Liveness},
     source::{AnswerSource, VersionCheck},
+    target_answer::TargetAnswer,
 };
 use crate::{
-    answer::set_body,
     control::{Admission, Directive},
     settings::FleetSource,
     shared::Shared,
@@ -32,18 +32,18 @@
 /// one fails.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
-/// How long to wait for the rest of an answer that says that the target did not run the request.
+/// How long to wait for the rest of an answer that is not passed on.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptEnd {
     /// The answer may be delivered.
-    Answered(Box<Response>),
+    Answered(Box<TargetAnswer>),
     /// The attempt ended; the next directive of the control thread decides what follows.
     Next(Admission),
     /// The target answered with a server error, which is delivered if no other attempt follows.
-    Failed(Admission, Box<Response>),
+    Failed(Admission, Box<TargetAnswer>),
     /// An error answer from the daemon itself; no other attempt follows.
     Final(Problem),
     /// The caller closed its connection.
@@ -138,6 +138,20 @@
             }
         }
     }
+    let answer = match TargetAnswer::new(&res, &call.request_id, call.idempotent) {
+        Ok(answer) => answer,
+        Err(promise) => {
+            info!(
+                cx.log, "answer of a target replaced, because its status says that the request has not run";
+                "request" => &call.request_id, "target" => %target, "status" => u16::from(promise.status)
+            );
+            // Reads the rest, so that the connection can be reused.
+            let _ = timeout(REFUSAL_BODY_TIMEOUT, prefetch(&mut res)).await;
+            observe_request(cx, call, started);
+            admission.completed(None);
+            return AttemptEnd::Final(promise.into_problem());
+        }
+    };
     let seconds = cx.clock.now().since(started).as_secs_f64();
     cx.metrics.first_byte_seconds.get_or_create(&super::service_labels(call)).observe(seconds);
     let forwarder = |admission| AnswerForwarder {
@@ -152,12 +166,12 @@
     };
     if forwarder::is_event_stream(&res) {
         admission.first_byte();
-        return AttemptEnd::Answered(Box::new(forwarder(admission).start(res, Vec::new())));
+        let answer = forwarder(admission).start(answer, res, Vec::new());
+        return AttemptEnd::Answered(Box::new(answer));
     }
     match interrupts.race(&admission, prefetch(&mut res)).await {
         Ok(Ok(Prefetched::Whole(bytes))) => {
-            let mut answer = forwarder::answer_head(call, &res);
-            set_body(&mut answer, Body::from_bytes(bytes));
+            let answer = answer.with_body(Body::from_bytes(bytes));
             if is_retriable_failure(cx, call, &res) {
                 admission.failed_after_send(FailureCause::BadAnswer);
                 return AttemptEnd::Failed(admission, Box::new(answer));
@@ -168,7 +182,7 @@
         }
         Ok(Ok(Prefetched::Partial(bytes))) => {
             admission.first_byte();
-            AttemptEnd::Answered(Box::new(forwarder(admission).start(res, bytes)))
+            AttemptEnd::Answered(Box::new(forwarder(admission).start(answer, res, bytes)))
         }
         Ok(Err(e)) => {
             debug!(cx.log, "answer broke"; "request" => &call.request_id, "target" => %target, "error" => %e);
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -23,9 +23,10 @@
     events::EventSplitter,
     protocol,
     source::{AnswerSource, VersionCheck},
+    target_answer::TargetAnswer,
 };
 use crate::{
-    answer::{BodySender, body_channel, set_body},
+    answer::{BodySender, body_channel},
     control::{Admission, Directive},
     settings::FleetSource,
     shared::Shared,
@@ -66,41 +67,15 @@
     pub started: Timestamp,
 }
 
-/// Returns the head of the answer for the caller, without hop-by-hop headers.
-pub fn answer_head(call: &Call, res: &Response) -> Response {
-    let mut answer = Response::new(res.status());
-    for (name, values) in res.iter() {
-        let is_forwarded = !matches!(
-            name.as_str(),
-            "connection"
-                | "keep-alive"
-                | "transfer-encoding"
-                | "content-length"
-                | "te"
-                | "trailer"
-                | "upgrade"
-        );
-        if is_forwarded {
-            for value in values {
-                answer.append_header(name.clone(), value.clone());
-            }
-        }
-    }
-    answer.insert_header("x-request-id", &call.request_id);
-    answer
-}
-
 /// Returns whether an answer is a stream of server-sent events.
 pub fn is_event_stream(res: &Response) -> bool {
     res.header("content-type").is_some_and(|it| it.last().as_str().starts_with("text/event-stream"))
 }
 
 impl AnswerForwarder {
-    /// Starts to forward an answer, of which `first` has already been read.
-    pub fn start(self, res: Response, first: Vec<u8>) -> Response {
-        let mut answer = answer_head(&self.call, &res);
+    /// Starts to forward an answer, of which `first` has already been read; `head` is its head for the caller.
+    pub fn start(self, head: TargetAnswer, res: Response, first: Vec<u8>) -> TargetAnswer {
         let (tx, body) = body_channel(MAX_QUEUED_PIECES);
-        set_body(&mut answer, body);
         let (log, request_id) = (self.cx.log.clone(), self.call.request_id.clone());
         let forward = async move {
             match is_event_stream(&res) {
@@ -112,7 +87,7 @@
             // After a panic, which has been logged, the body ends with an error.
             let _ = contain(&log, &request_id, forward).await;
         });
-        answer
+        head.with_body(body)
     }
 
     async fn forward_bytes(self, mut res: Response, first: Vec<u8>, tx: BodySender) {
--- a/crates/borageshed/src/online/mod.rs
+++ b/crates/borageshed/src/online/mod.rs
@@ -7,6 +7,7 @@
 //! - [`protocol`]: metadata that is exchanged with targets besides requests and answers.
 //! - [`refusal`]: answers to requests that the daemon refuses.
 //! - [`source`]: the target that sends an answer, and whether its version is certain.
+//! - [`target_answer`]: answers of targets that may be passed on to callers.
 //! - [`event_data`]: collects the data of event streams.
 //! - [`events`]: splits event streams into whole events.
 //! - `forwarder`: forwards an answer to the caller while it arrives.
@@ -20,6 +21,7 @@
 pub mod protocol;
 pub mod refusal;
 pub mod source;
+pub mod target_answer;
 
 mod forwarder;
 
@@ -30,7 +32,6 @@
     problem::{Execution, Problem, ProblemKind},
     server::Caller,
 };
-use http_types::Response;
 use slog::{debug, info};
 
 use crate::{
@@ -44,12 +45,13 @@
 pub(crate) use forwarder::is_event_stream;
 
 use attempt::AttemptEnd;
+use target_answer::TargetAnswer;
 
 /// How a request ended for its caller.
 #[derive(Debug)]
 pub enum Ended {
     /// The target's answer, complete or still arriving.
-    Answered(Box<Response>),
+    Answered(Box<TargetAnswer>),
     /// An error answer from the daemon itself.
     Refused(Problem),
     /// The caller closed its connection.
@@ -148,7 +150,7 @@
     cx: &Shared,
     call: &Call,
     is_passed_on: bool,
-    failed_answer: Option<Box<Response>>,
+    failed_answer: Option<Box<TargetAnswer>>,
 ) -> Ended {
     info!(
         cx.log, "waiting request ended by the drain";
--- a/crates/http-edge/src/problem.rs
+++ b/crates/http-edge/src/problem.rs
@@ -35,6 +35,18 @@
     }
 }
 
+/// Returns whether a status promises that a request has not run and never will. Callers send a request that may run only once
+/// again after such a status, so only an answer that is known to be true may have it.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::RequestTimeout
+            | StatusCode::MisdirectedRequest
+            | StatusCode::TooManyRequests
+            | StatusCode::ServiceUnavailable
+    )
+}
+
 /// The closed set of error types.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum ProblemKind {
@@ -84,11 +96,22 @@
         format!("urn:borageshed:problem:{}", self.definition().0)
     }
 
-    /// Returns the status code.
-    pub fn status(self) -> StatusCode {
+    /// Returns the status code of a request that has not run.
+    fn status_if_not_run(self) -> StatusCode {
         self.definition().1
     }
 
+    /// Returns the status code of a request that may have run: one that promises nothing.
+    fn status_if_run(self) -> StatusCode {
+        match self.status_if_not_run() {
+            status if !promises_not_run(status) => status,
+            _ => match self {
+                Self::RequestTimeout | Self::StoreUnavailable => StatusCode::GatewayTimeout,
+                _ => StatusCode::BadGateway,
+            },
+        }
+    }
+
     /// Returns the title, which is the same for every occurrence.
     pub fn title(self) -> &'static str {
         self.definition().2
@@ -165,12 +188,6 @@
         }
     }
 
-    /// Replaces what is known about the execution.
-    #[must_use]
-    pub fn with_execution(self, execution: Execution) -> Self {
-        Self { execution, ..self }
-    }
-
     /// Adds `Retry-After`, rounded up to whole seconds.
     #[must_use]
     pub fn with_retry_after(self, delay: Duration) -> Self {
@@ -193,6 +210,14 @@
         self.execution
     }
 
+    /// Returns the status code.
+    pub fn status(&self) -> StatusCode {
+        match self.execution {
+            Execution::NotRun => self.kind.status_if_not_run(),
+            Execution::Ran | Execution::Unknown => self.kind.status_if_run(),
+        }
+    }
+
     /// Returns the explanation of this occurrence.
     pub fn detail(&self) -> &str {
         &self.detail
@@ -208,7 +233,7 @@
         let mut document = json!({
             "type": self.kind.type_uri(),
             "title": self.kind.title(),
-            "status": u16::from(self.kind.status()),
+            "status": u16::from(self.status()),
             "detail": self.detail,
             "execution": self.execution.as_str(),
         });
@@ -220,7 +245,7 @@
 
     /// Builds the answer.
     pub fn into_response(self) -> Response {
-        let mut res = Response::new(self.kind.status());
+        let mut res = Response::new(self.status());
         res.set_body(self.document().to_string());
         res.insert_header("content-type", PROBLEM_JSON);
         if self.kind == ProblemKind::Unauthenticated {
--- a/crates/http-edge/src/server/connection.rs
+++ b/crates/http-edge/src/server/connection.rs
@@ -263,8 +263,7 @@
     fn body_problem(&self) -> Response {
         count(&self.cx.counters.rejected);
         let error = self.input.body_error().unwrap_or(BodyError::Closed);
-        // The handler may have forwarded a part of the body before it failed.
-        Problem::from_body_error(error).with_execution(Execution::Unknown).into_response()
+        Problem::from_body_error(error).into_response()
     }
 
     /// Runs `work` while reading ahead, so that a close by the caller is detected immediately.
@@ -343,7 +342,8 @@
     Cancel,
 }
 
-/// Returns whether the server replaces the answer of a handler that only reports a failure to read the body.
+/// Returns whether the server replaces the answer of a handler that only reports a failure to read the body. Such a handler has not run
+/// the request: one that passes on a part of a body before it is complete has to answer by itself.
 fn replaces_answer(error: BodyError, res: &Response) -> bool {
     let status = res.status();
     error != BodyError::Closed
