--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -114,8 +114,7 @@
     };
     if let Some(cause) = protocol::not_run_cause(cx, call, target, &res, started) {
         debug!(cx.log, "target did not run the request"; "request" => &call.request_id, "target" => %target, "cause" => ?cause);
-        // Reads the rest, so that the connection can be reused. Such an answer is short unless the target is faulty.
-        let _ = timeout(REFUSAL_BODY_TIMEOUT, prefetch(&mut res)).await;
+        discard_body(&mut res).await;
         admission.not_run(cause);
         return AttemptEnd::Next(admission);
     }
@@ -146,8 +145,7 @@
                 cx.log, "answer of a target replaced, because its status says that the request has not run";
                 "request" => &call.request_id, "target" => %target, "status" => promise.status.code()
             );
-            // Reads the rest, so that the connection can be reused.
-            let _ = timeout(REFUSAL_BODY_TIMEOUT, prefetch(&mut res)).await;
+            discard_body(&mut res).await;
             observe_request(cx, call, started);
             admission.completed(None);
             return AttemptEnd::Final(promise.into_problem());
@@ -329,6 +327,13 @@
     }
 }
 
+/// Reads the rest of an answer that is not passed on, so that its connection can be reused. Such an answer is short unless the target is
+/// faulty.
+async fn discard_body(res: &mut Response) {
+    // The connection is closed if the rest is long or late.
+    let _ = timeout(REFUSAL_BODY_TIMEOUT, prefetch(res)).await;
+}
+
 async fn prefetch(res: &mut Response) -> std::io::Result<Prefetched> {
     let mut bytes = Vec::new();
     let mut buf = vec![0; 16 * 1024];
