Test promises in long failures and in event streams

Change: the stand-in's targets can fail with a body of any length and media type; one test with three forms and three statuses.

--- a/crates/borageshed/tests/promises.rs
+++ b/crates/borageshed/tests/promises.rs
@@ -37,6 +37,26 @@
     Ok(())
 }
 
+// Guards against a way around the check for answers that are forwarded while they arrive: those above the size that is buffered, and
+// event streams.
+#[async_std::test]
+async fn a_long_failure_of_a_request_that_may_run_once_promises_nothing() -> io::Result<()> {
+    let target = Target::start(Behaviour::Status(503)).await?;
+    let site = Site::start(&[("t-1", &target)]).await?;
+    let forms = [("text/plain", 200_000), ("text/event-stream", 40), ("text/event-stream", 0)];
+    for (n, (media_type, bytes)) in forms.into_iter().enumerate() {
+        for status in PROMISES {
+            target.set_behaviour(Behaviour::LongStatus { status, media_type, bytes });
+            let reply = site.send(call(DRAFTS, &format!("r-{n}-{status}"))).await;
+            assert_eq!(reply.status, 502, "{status}, {bytes} bytes of {media_type}");
+            assert_eq!(reply.header(STAMP_HEADER), None);
+            assert_eq!(reply.json()["execution"], "unknown");
+        }
+    }
+    assert_eq!(target.requests().len(), forms.len() * PROMISES.len(), "each ran once");
+    Ok(())
+}
+
 // Guards against the loss of a target's status and signature where the caller may send the request again in any case.
 #[async_std::test]
 async fn the_failure_of_an_idempotent_request_is_passed_on_as_it_came() -> io::Result<()> {
