--- a/crates/borageshed/tests/ended_jobs.rs
+++ b/crates/borageshed/tests/ended_jobs.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use http_types::Method;
-use operator_site::{KEY, Site, stream, submission, wait_until};
+use operator_site::{KEY, Site, StoreCut, cut_off, stream, submission, wait_until};
 use test_support::{
     http::Call,
     operator,
@@ -30,8 +30,7 @@
         worker_log().is_ok_and(|it| it.contains("lease granted"))
     })
     .await?;
-    site.worker_link.refuse(true);
-    site.worker_link.cut();
+    cut_off(&site.worker_link, StoreCut::Reset);
     wait_until("the worker misses the store", async || {
         worker_log().is_ok_and(|it| it.contains("cannot read the index of jobs"))
     })
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -204,3 +204,26 @@
 pub fn stream(events: u64, pause_ms: u64) -> Behaviour {
     Behaviour::Stream { events, pause: Duration::from_millis(pause_ms) }
 }
+
+/// How a daemon is cut off from the store.
+#[derive(Debug, Clone, Copy)]
+pub enum StoreCut {
+    /// Connections are reset.
+    Reset,
+    /// Connections stay open and carry nothing.
+    Silent,
+}
+
+/// Cuts a daemon off from the store.
+pub fn cut_off(link: &Link, cut: StoreCut) {
+    match cut {
+        StoreCut::Reset => {
+            link.refuse(true);
+            link.cut();
+        }
+        StoreCut::Silent => {
+            link.silence();
+            link.silence_new(true);
+        }
+    }
+}
