--- a/crates/borageshed/tests/ended_jobs.rs
+++ b/crates/borageshed/tests/ended_jobs.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use http_types::Method;
-use operator_site::{KEY, Site, StoreCut, cut_off, stream, submission, wait_until};
+use operator_site::{KEY, Site, StoreCut, cut_off, end_cut, stream, submission, wait_until};
 use test_support::{
     http::Call,
     operator,
@@ -45,7 +45,7 @@
     let end = || Call::get(operator::job_path("job-1")).method(Method::Delete).key(KEY);
     wait_until("the job is ended", async || site.send(end()).await.status == 200).await?;
     task::sleep(Duration::from_millis(500)).await;
-    site.worker_link.refuse(false);
+    end_cut(&site.worker_link);
     wait_until("the worker reaches the store", async || {
         worker_log().is_ok_and(|it| it.contains("index of jobs can be read again"))
     })
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -227,3 +227,10 @@
         }
     }
 }
+
+/// Ends a cut: the connections that were open during it break, and new ones work.
+pub fn end_cut(link: &Link) {
+    link.cut();
+    link.refuse(false);
+    link.silence_new(false);
+}
--- a/crates/borageshed/tests/restarted_targets.rs
+++ b/crates/borageshed/tests/restarted_targets.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, io, net::SocketAddr, time::Duration};
 
 use async_std::task;
-use operator_site::{KEY, Site, call, submission, wait_until};
+use operator_site::{KEY, Site, StoreCut, call, cut_off, end_cut, submission, wait_until};
 use test_support::{
     http::Call,
     operator::{self, HOST, STREAMS},
@@ -60,16 +60,14 @@
     let kept = Target::start(Behaviour::BreakAfter(3)).await?;
     let restarted = Target::start(Behaviour::BreakAfter(3)).await?;
     let site = site_with_known_targets(&kept, &restarted).await?;
-    site.entry_link.silence();
-    site.entry_link.silence_new(true);
+    cut_off(&site.entry_link, StoreCut::Silent);
     site.worker.pause();
     restarted.restart();
     operator::register_version(&site.platform, "t-2", restarted.address(), "v2");
     send_streams(site.callers(), "cut", 12).await;
     assert!(!ids(&kept, false).is_empty() && !ids(&restarted, false).is_empty());
     assert_eq!(joined(&kept, &restarted), Vec::<String>::new());
-    site.entry_link.cut();
-    site.entry_link.silence_new(false);
+    end_cut(&site.entry_link);
     site.worker.resume();
     Ok(())
 }
@@ -131,8 +129,7 @@
         kept.requests().len() > before.0 && restarted.requests().len() > before.1
     };
     wait_until("the second entry daemon knows the targets", are_known).await?;
-    site.entry_link.silence();
-    site.entry_link.silence_new(true);
+    cut_off(&site.entry_link, StoreCut::Silent);
     restarted.restart();
     operator::register_version(&site.platform, "t-2", restarted.address(), "v2");
     send_streams(site.callers(), "cut", 12).await;
@@ -199,16 +196,14 @@
     assert_eq!(site.send(submission("job", &items)).await.status, 202);
     let has_owner = async || kept.requests().iter().any(|it| !it.ran);
     wait_until("the job has an owner", has_owner).await?;
-    site.worker_link.silence();
-    site.worker_link.silence_new(true);
+    cut_off(&site.worker_link, StoreCut::Silent);
     site.entry.pause();
     restarted.restart();
     operator::register_version(&site.platform, "t-2", restarted.address(), "v2");
     kept.set_behaviour(Behaviour::BreakAfter(3));
     restarted.set_behaviour(Behaviour::BreakAfter(3));
     task::sleep(Duration::from_millis(1_500)).await;
-    site.worker_link.cut();
-    site.worker_link.silence_new(false);
+    end_cut(&site.worker_link);
     site.entry.resume();
     site.wait_for_results("job", items.len()).await?;
     let ran = |target: &Target, is_continued| -> BTreeSet<String> {
--- a/crates/borageshed/tests/versions.rs
+++ b/crates/borageshed/tests/versions.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use async_std::task;
-use operator_site::{KEY, Site, call, stream, submission, wait_until};
+use operator_site::{KEY, Site, StoreCut, call, cut_off, end_cut, stream, submission, wait_until};
 use test_support::{
     http::{Call, Reply},
     operator::{self, DRAFTS, HOST, STREAMS},
@@ -229,8 +229,7 @@
     let (_second, second) = site.start_entry("second", 8_400).await?;
     wait_until_used(site.callers(), &old).await?;
     task::sleep(SETTLE_TIME).await;
-    site.entry_link.silence();
-    site.entry_link.silence_new(true);
+    cut_off(&site.entry_link, StoreCut::Silent);
     site.worker.pause();
     operator::register_version(&site.platform, "t-2", new.address(), "v2");
     let begun = begin_streams(second, &new, 4).await?;
@@ -241,8 +240,7 @@
         ids.push(id);
     }
     assert_eq!(taken_up_at(&old, &ids), 0, "the old version was asked to go on");
-    site.entry_link.cut();
-    site.entry_link.silence_new(false);
+    end_cut(&site.entry_link);
     site.worker.resume();
     let goes_on = async || {
         take_up(site.callers(), "healed", &begun[0]).await;
