Reproduce callers who are refused by an instance that has lost its links to the targets

An entry daemon reaches the targets through relays that refuse, reset or hang, while two other daemons reach them directly. The relay of the test kit learns to refuse connections and to let them hang as the system does, instead of closing them after the accept.

--- /dev/null
+++ b/crates/borageshed/tests/link_site/mod.rs
@@ -0,0 +1,169 @@
+//! Starts an entry daemon whose links to the targets can be cut while another entry daemon and a worker daemon go on reaching them.
+#![allow(dead_code, reason = "each test program uses a part")]
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use kv_store::Store as _;
+use platform::{PlatformStore, PlatformStoreConfig};
+use serde_json::{Value, json};
+use test_support::{
+    http::{Call, Reply},
+    link::Relay as Link,
+    operator::{self, HOST},
+    platform::Platform,
+    processes::Process,
+    target::{Behaviour, Target},
+};
+
+use crate::operator_site::{KEY, Site};
+
+/// The port at which the daemon behind the links accepts callers.
+const CUT_PORT: u16 = 8_400;
+const MEMBERS: &str = "members/";
+
+/// How the links of a daemon to all targets are cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Open connections fall silent, and new ones hang.
+    Silent,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// Open connections live on, and new ones are refused.
+    Refuse,
+}
+
+/// A daemon behind links that can be cut, and two that reach the targets directly.
+pub struct LinkSite {
+    /// The daemons that reach the targets, with their store.
+    pub site: Site,
+    /// The daemon behind the links.
+    pub process: Process,
+    /// Where it accepts callers.
+    pub callers: SocketAddr,
+    /// The links from it to the targets.
+    pub links: Vec<Link>,
+    pub targets: Vec<Target>,
+    /// The store of the daemon behind the links, in which the targets have the addresses of the links.
+    store: Platform,
+}
+
+impl LinkSite {
+    pub async fn start(behaviours: &[Behaviour]) -> io::Result<Self> {
+        Self::start_with(behaviours, json!({})).await
+    }
+
+    /// Starts a site with a target for each behaviour, whose daemons have more settings.
+    pub async fn start_with(behaviours: &[Behaviour], more: Value) -> io::Result<Self> {
+        let mut targets = Vec::new();
+        for behaviour in behaviours {
+            targets.push(Target::start(*behaviour).await?);
+        }
+        let store = Platform::start(([127, 0, 0, 1], 0).into()).await?;
+        operator::configure(&store, 2, &[KEY, "key-two"]);
+        let mut links = Vec::new();
+        for (n, target) in targets.iter().enumerate() {
+            let link = Link::start(target.address()).await?;
+            operator::register(&store, &target_id(n), link.address());
+            links.push(link);
+        }
+        let site = Site::start_with(more, |platform| {
+            for (n, target) in targets.iter().enumerate() {
+                operator::register(platform, &target_id(n), target.address());
+            }
+        })
+        .await?;
+        // The daemons have two stores, but each store names the daemons of the other one.
+        let others = [("entry", 8_000), ("worker", 8_100)];
+        for (name, port) in others {
+            register_daemon(&store, name, site.peer_address(port)).await?;
+        }
+        register_daemon(&site.platform, "cut", site.peer_address(CUT_PORT)).await?;
+        let (process, callers) =
+            site.start_entry_at(("cut", CUT_PORT), store.address(), &json!({})).await?;
+        let site = Self { site, process, callers, links, targets, store };
+        site.wait_for_peers().await?;
+        Ok(site)
+    }
+
+    /// Waits until the daemon behind the links is linked with the two others.
+    async fn wait_for_peers(&self) -> io::Result<()> {
+        let admin = self.site.admin(CUT_PORT);
+        crate::operator_site::wait_until("the daemons are linked", async || {
+            let Ok(reply) = Call::get("/metrics").send(admin).await else { return false };
+            reply.text().lines().any(|it| it == "borageshed_peers 2")
+        })
+        .await
+    }
+
+    /// Returns the metrics of the daemon behind the links.
+    pub async fn metrics(&self) -> String {
+        let admin = self.site.admin(CUT_PORT);
+        Call::get("/metrics").send(admin).await.expect("metrics").text()
+    }
+
+    /// Sends a request to the daemon behind the links.
+    pub async fn send(&self, call: Call) -> Reply {
+        call.header("host", HOST).send(self.callers).await.expect("an answer")
+    }
+
+    pub async fn cut(&self, cut: Cut) -> io::Result<()> {
+        for link in &self.links {
+            self.cut_link(link, cut).await?;
+        }
+        Ok(())
+    }
+
+    pub async fn cut_link(&self, link: &Link, cut: Cut) -> io::Result<()> {
+        match cut {
+            Cut::Silent => {
+                link.hang_new().await?;
+                link.silence();
+            }
+            Cut::Reset => {
+                link.stop_listening();
+                link.cut();
+            }
+            Cut::Refuse => link.stop_listening(),
+        }
+        Ok(())
+    }
+
+    /// Ends a cut; connections that fell silent stay silent.
+    pub async fn heal(&self) -> io::Result<()> {
+        for link in &self.links {
+            link.listen().await?;
+        }
+        Ok(())
+    }
+
+    /// Returns how many targets received the request.
+    pub fn runs(&self, id: &str) -> usize {
+        let received = self.targets.iter().flat_map(Target::requests);
+        received.filter(|it| it.header("x-request-id") == Some(id)).count()
+    }
+
+    /// Returns the text of the log of the daemon behind the links.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.site.folder.path().join("cut.log")).unwrap_or_default()
+    }
+}
+
+pub fn target_id(n: usize) -> String {
+    format!("t-{n}")
+}
+
+pub fn pause() -> Duration {
+    Duration::from_millis(20)
+}
+
+async fn register_daemon(store: &Platform, name: &str, address: SocketAddr) -> io::Result<()> {
+    let runs_items = name == "worker";
+    let record = json!({
+        "address": address, "failure_domain": "a", "admits_callers": !runs_items,
+        "runs_items": runs_items, "capacity": 250,
+    });
+    let client = PlatformStore::new(PlatformStoreConfig::new(store.address()));
+    let key = format!("{MEMBERS}{name}");
+    client.create(&key, record.to_string().as_bytes()).await.map_err(io::Error::other)?;
+    Ok(())
+}
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -97,6 +97,25 @@
         Ok((entry, SocketAddr::from((self.ip, port))))
     }
 
+    /// Starts another entry daemon as [`Site::start_entry`] does, which uses this store and these further settings.
+    pub async fn start_entry_at(
+        &self,
+        (name, port): (&str, u16),
+        store: SocketAddr,
+        more: &Value,
+    ) -> io::Result<(Process, SocketAddr)> {
+        let settings = entry_settings(store, self.ip, name, port);
+        let settings = with(with(settings, &self.more_settings), more);
+        let entry = start(&self.folder, name, &settings)?;
+        self.wait_until_ready(port).await?;
+        Ok((entry, SocketAddr::from((self.ip, port))))
+    }
+
+    /// Returns where other daemons reach an entry daemon that accepts callers at this port.
+    pub fn peer_address(&self, port: u16) -> SocketAddr {
+        SocketAddr::from((self.ip, port + ADMIN_OFFSET + 1))
+    }
+
     pub async fn wait_until_ready(&self, port: u16) -> io::Result<()> {
         let ready = Call::get("/readyz");
         let admin = SocketAddr::from((self.ip, port + ADMIN_OFFSET));
--- a/crates/test-support/src/link.rs
+++ b/crates/test-support/src/link.rs
@@ -18,8 +18,14 @@
     AsyncReadExt, AsyncWriteExt,
     future::{AbortHandle, abortable},
 };
+use socket2::{Domain, Socket, Type};
+
+use crate::wait::wait_until;
 
 const BUFFER_SIZE: usize = 16 << 10;
+/// How long a relay may take to listen again at its address.
+const LISTEN_TIMEOUT: Duration = Duration::from_secs(2);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 #[derive(Debug, Default)]
 struct State {
@@ -61,8 +67,11 @@
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
+    target: SocketAddr,
     shared: Arc<Shared>,
-    accept: AbortHandle,
+    accept: Mutex<AbortHandle>,
+    /// The listener that takes no connections while new ones hang, and the connections that fill its queue.
+    hanging: Mutex<Option<(Socket, Vec<Socket>)>>,
 }
 
 impl Relay {
@@ -75,9 +84,8 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
-        let (run, accept) = abortable(accept_all(listener, target, Arc::clone(&shared)));
-        task::spawn(run);
-        Ok(Self { address, shared, accept })
+        let accept = Mutex::new(spawn_accept(listener, target, &shared));
+        Ok(Self { address, target, shared, accept, hanging: Mutex::default() })
     }
 
     /// Returns the address on which the relay accepts connections.
@@ -97,6 +105,65 @@
         self.shared.lock().refuse = on;
     }
 
+    /// Stops listening, so that the system refuses new connections; open ones go on.
+    pub fn stop_listening(&self) {
+        lock(&self.accept).abort();
+        *lock(&self.hanging) = None;
+    }
+
+    /// Listens again after [`Self::stop_listening`] or [`Self::hang_new`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn listen(&self) -> io::Result<()> {
+        self.stop_listening();
+        let socket = self.bind(1_024).await?;
+        let listener = TcpListener::from(std::net::TcpListener::from(socket));
+        *lock(&self.accept) = spawn_accept(listener, self.target, &self.shared);
+        Ok(())
+    }
+
+    /// Lets new connections hang, as behind a network path that drops packets; open ones go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn hang_new(&self) -> io::Result<()> {
+        self.stop_listening();
+        // The system drops the packets of further connections while the queue of a listener is full.
+        let listener = self.bind(0).await?;
+        let mut queued = Vec::new();
+        for _ in 0..3 {
+            let socket = Socket::new(Domain::for_address(self.address), Type::STREAM, None)?;
+            socket.set_nonblocking(true)?;
+            // Fails because the connection is still in progress.
+            let _ = socket.connect(&self.address.into());
+            queued.push(socket);
+        }
+        *lock(&self.hanging) = Some((listener, queued));
+        Ok(())
+    }
+
+    /// Binds the address of the relay, from which the former listener may not have gone yet.
+    async fn bind(&self, backlog: i32) -> io::Result<Socket> {
+        let bound = Mutex::new(None);
+        let bind = || -> io::Result<Socket> {
+            let socket = Socket::new(Domain::for_address(self.address), Type::STREAM, None)?;
+            socket.set_reuse_address(true)?;
+            socket.bind(&self.address.into())?;
+            socket.listen(backlog)?;
+            Ok(socket)
+        };
+        let is_bound = async || {
+            *lock(&bound) = bind().ok();
+            lock(&bound).is_some()
+        };
+        wait_until("the relay listens again", LISTEN_TIMEOUT, POLL_INTERVAL, is_bound).await?;
+        let socket = lock(&bound).take();
+        socket.ok_or_else(|| io::Error::other("the relay does not listen"))
+    }
+
     /// Delays the data of each read by this long, in both directions.
     pub fn delay(&self, delay: Duration) {
         self.shared.lock().delay = delay;
@@ -127,12 +194,22 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        self.accept.abort();
+        self.stop_listening();
         self.refuse(true);
         self.cut();
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn spawn_accept(listener: TcpListener, target: SocketAddr, shared: &Arc<Shared>) -> AbortHandle {
+    let (run, accept) = abortable(accept_all(listener, target, Arc::clone(shared)));
+    task::spawn(run);
+    accept
+}
+
 async fn accept_all(listener: TcpListener, target: SocketAddr, shared: Arc<Shared>) {
     loop {
         let Ok((caller, _)) = listener.accept().await else {
