http-edge: tell when bytes last arrived from each address, and split opening from sending

Cause: a daemon's log and state cannot tell a target that fails from a link of its own that is lost, because nothing knows which addresses owe an answer and since when. The client now counts the exchanges and the last byte of each address, and opens or takes a connection apart from sending on it, so that a caller can choose another path while nothing has been sent.

--- a/crates/http-edge/src/client/answer.rs
+++ b/crates/http-edge/src/client/answer.rs
@@ -77,7 +77,7 @@
     /// connections with surplus bytes.
     fn finish(&mut self) {
         let Some(mut conn) = self.conn.take() else { return };
-        conn.in_exchange = false;
+        conn.end_exchange();
         if self.reusable {
             self.inner.return_to_pool(conn);
         }
@@ -115,6 +115,7 @@
                     self.finish();
                 }
                 Poll::Ready(Ok(n)) => {
+                    conn.traffic.on_received();
                     conn.buf.extend_from_slice(&chunk[..n]);
                     self.read_pending = false;
                 }
--- a/crates/http-edge/src/client/exchange.rs
+++ b/crates/http-edge/src/client/exchange.rs
@@ -19,6 +19,7 @@
 use super::error::{Failure, Progress, SendError};
 use super::head::{self, AnswerHead, KeepAliveTimeout, Parsed};
 use super::pool::Connection;
+use super::traffic::AddressTraffic;
 use super::{AnswerInfo, Inner, Silence};
 use crate::framing::{BodyDecoder, Framing};
 use crate::status::Status;
@@ -57,12 +58,11 @@
     let head = head::format(addr, request_id, &req, framing)
         .map_err(|failure| SendError::not_sent(addr, failure))?;
     let activity = Activity::default();
-    conn.in_exchange = true;
-    conn.record_exchange(request_id);
+    conn.begin_exchange(request_id);
     let mut buf = std::mem::take(&mut conn.buf);
     let result = {
         let write = write_request(&conn.stream, head, body, framing, &activity);
-        let read = read_head(&conn.stream, &mut buf, method, inner, &activity);
+        let read = read_head(&conn.stream, &conn.traffic, &mut buf, method, inner, &activity);
         let on_silence = |gap| {
             (inner.on_silence)(Silence {
                 addr,
@@ -280,6 +280,7 @@
 
 async fn read_head(
     mut stream: &TcpStream,
+    traffic: &AddressTraffic,
     buf: &mut BytesMut,
     method: Method,
     inner: &Inner,
@@ -309,6 +310,7 @@
         match stream.read(&mut chunk).await {
             Ok(0) => return Err(Failure::ClosedBeforeAnswer),
             Ok(n) => {
+                traffic.on_received();
                 activity.received.store(true, Ordering::Relaxed);
                 activity.progressed.store(true, Ordering::Relaxed);
                 buf.extend_from_slice(&chunk[..n]);
--- a/crates/http-edge/src/client/mod.rs
+++ b/crates/http-edge/src/client/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod head;
 mod pool;
+mod traffic;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -19,8 +20,10 @@
 use crate::keepalive;
 
 use self::pool::{Connection, Pool};
+use self::traffic::TrafficTable;
 
 pub use self::error::{Failure, Progress, SendError};
+pub use self::traffic::Traffic;
 
 /// Header that carries the request id to the target and back.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -147,11 +150,19 @@
     pub ends_with_connection: bool,
 }
 
+/// An open connection to a target that carries no exchange; dropping it closes it.
+#[derive(Debug)]
+pub struct OpenConnection {
+    conn: Connection,
+    reused: bool,
+}
+
 type OnSilence = dyn Fn(Silence) + Send + Sync;
 
 struct Inner {
     settings: ClientSettings,
     pool: Mutex<Pool>,
+    traffic: TrafficTable,
     next_id: AtomicU64,
     on_silence: Box<OnSilence>,
 }
@@ -171,6 +182,7 @@
         let inner = Inner {
             settings,
             pool: Mutex::new(Pool::default()),
+            traffic: TrafficTable::new(),
             next_id: AtomicU64::new(0),
             on_silence: Box::new(on_silence),
         };
@@ -193,12 +205,55 @@
         request_id: &str,
         req: Request,
     ) -> Result<Response, SendError> {
-        let pooled = self.inner.pool().take(addr, request_id, self.inner.settings.idle_timeout);
-        let (conn, reused) = match pooled {
-            Some(conn) => (conn, true),
-            None => (self.inner.connect(addr).await?, false),
+        let conn = match self.take_idle(addr, request_id) {
+            Some(conn) => conn,
+            None => self.connect(addr).await?,
         };
-        exchange::run(&self.inner, conn, reused, request_id, req).await
+        self.send_on(conn, request_id, req).await
+    }
+
+    /// Takes an idle connection to a target from the pool that may carry a request with this id.
+    pub fn take_idle(&self, addr: SocketAddr, request_id: &str) -> Option<OpenConnection> {
+        let conn = self.inner.pool().take(addr, request_id, self.inner.settings.idle_timeout)?;
+        Some(OpenConnection { conn, reused: true })
+    }
+
+    /// Opens a connection to a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection cannot be opened in time; nothing has been sent then.
+    pub async fn connect(&self, addr: SocketAddr) -> Result<OpenConnection, SendError> {
+        Ok(OpenConnection { conn: self.inner.connect(addr).await?, reused: false })
+    }
+
+    /// Adds a connection that was not used to the pool.
+    pub fn put_back(&self, open: OpenConnection) {
+        self.inner.return_to_pool(open.conn);
+    }
+
+    /// Sends a request over an open connection, like [`Client::send`].
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Client::send`].
+    pub async fn send_on(
+        &self,
+        open: OpenConnection,
+        request_id: &str,
+        req: Request,
+    ) -> Result<Response, SendError> {
+        exchange::run(&self.inner, open.conn, open.reused, request_id, req).await
+    }
+
+    /// Returns what has passed between the client and an address; `None` if there has been no connection to it lately.
+    pub fn traffic(&self, addr: SocketAddr) -> Option<Traffic> {
+        self.inner.traffic.get(addr)
+    }
+
+    /// Returns what has passed between the client and each address to which there has been a connection lately.
+    pub fn all_traffic(&self) -> Vec<Traffic> {
+        self.inner.traffic.all()
     }
 
     /// Sends a request over a new connection, for example to check whether a target with a silent connection still
@@ -213,8 +268,8 @@
         request_id: &str,
         req: Request,
     ) -> Result<Response, SendError> {
-        let conn = self.inner.connect(addr).await?;
-        exchange::run(&self.inner, conn, false, request_id, req).await
+        let conn = self.connect(addr).await?;
+        self.send_on(conn, request_id, req).await
     }
 
     /// Opens a connection to a target and closes it.
@@ -262,7 +317,8 @@
         if let Err(e) = keepalive::enable(&stream, self.settings.unacknowledged_limit) {
             return Err(SendError::not_sent(addr, Failure::Connect(e.kind())));
         }
-        Ok(Connection::new(self.next_id.fetch_add(1, Ordering::Relaxed), addr, stream))
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        Ok(Connection::new(id, addr, stream, self.traffic.on_connected(addr)))
     }
 
     fn return_to_pool(&self, conn: Connection) {
--- a/crates/http-edge/src/client/pool.rs
+++ b/crates/http-edge/src/client/pool.rs
@@ -16,6 +16,7 @@
 use socket2::SockRef;
 
 use super::ConnectionHandle;
+use super::traffic::{AddressTraffic, OwedAnswer};
 
 /// The number of exchanges of a connection whose ids are remembered. A copied answer arrives after the answers to the exchanges in
 /// between, so a copy that is further behind would be seconds late.
@@ -32,14 +33,20 @@
     closed_by_owner: Arc<AtomicBool>,
     /// The hashes of the ids of the last exchanges.
     carried: VecDeque<u64>,
-    /// Whether an exchange has begun and its answer has not ended.
-    pub(crate) in_exchange: bool,
+    pub(crate) traffic: Arc<AddressTraffic>,
+    /// Set while an exchange has begun and its answer has not ended.
+    exchange: Option<OwedAnswer>,
     /// Time for which the target keeps the connection open while it is idle, if it announced one.
     pub(crate) keep_alive_timeout: Option<Duration>,
 }
 
 impl Connection {
-    pub(crate) fn new(id: u64, addr: SocketAddr, stream: TcpStream) -> Self {
+    pub(crate) fn new(
+        id: u64,
+        addr: SocketAddr,
+        stream: TcpStream,
+        traffic: Arc<AddressTraffic>,
+    ) -> Self {
         Self {
             id,
             addr,
@@ -48,7 +55,8 @@
             buf: BytesMut::new(),
             closed_by_owner: Arc::new(AtomicBool::new(false)),
             carried: VecDeque::new(),
-            in_exchange: false,
+            traffic,
+            exchange: None,
             keep_alive_timeout: None,
         }
     }
@@ -62,13 +70,19 @@
     }
 
     /// Records that the connection carries an exchange with this id.
-    pub(crate) fn record_exchange(&mut self, request_id: &str) {
+    pub(crate) fn begin_exchange(&mut self, request_id: &str) {
+        self.exchange = Some(self.traffic.begin_exchange());
         if self.carried.len() >= MAX_REMEMBERED_EXCHANGES {
             self.carried.pop_front();
         }
         self.carried.push_back(hash(request_id));
     }
 
+    /// Records that the answer has ended.
+    pub(crate) fn end_exchange(&mut self) {
+        self.exchange = None;
+    }
+
     fn has_carried(&self, request_id: &str) -> bool {
         self.carried.contains(&hash(request_id))
     }
@@ -99,7 +113,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        if self.in_exchange {
+        if self.exchange.is_some() {
             // The kernel would otherwise go on delivering the request, for as long as a network partition lasts and longer, to a
             // target that may have left meanwhile. A failure leaves that behaviour.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
--- a/crates/http-edge/tests/client.rs
+++ b/crates/http-edge/tests/client.rs
@@ -437,3 +437,20 @@
     let expected = Failure::RequestId { expected: "b".to_owned(), found: None };
     assert_eq!((error.progress, error.failure), (Progress::Sent, expected));
 }
+
+/// Guards against a link that counts as silent although nothing is owed on it, and against one that is owed an answer and does not.
+#[async_std::test]
+async fn an_address_owes_an_answer_from_the_request_to_the_end_of_the_answer() {
+    let target = start_target(vec![text("content-length: 2\n\nok")]).await;
+    let client = client();
+    assert_eq!(client.traffic(target.addr), None);
+    let open = with_timeout(client.connect(target.addr)).await.unwrap();
+    let connected = client.traffic(target.addr).unwrap();
+    assert_eq!(connected.owes_since, None);
+    let res = with_timeout(client.send_on(open, "a", request(Method::Get, ""))).await.unwrap();
+    let owed = client.traffic(target.addr).unwrap();
+    assert!(owed.owes_since.is_some(), "the body has not been read");
+    assert!(owed.received_at > connected.received_at);
+    assert_eq!(body(res).await, Ok("ok".to_owned()));
+    assert_eq!(client.traffic(target.addr).unwrap().owes_since, None);
+}
