peer: carry exchanges with targets on connections of their own

The wire part of calls to targets through other daemons: messages, both ends, liveness, and an end that cannot be taken for the end of a body. An exchange has a connection of its own, since a long body on a link would delay heartbeats and loans.

--- a/crates/peer/src/hub.rs
+++ b/crates/peer/src/hub.rs
@@ -20,7 +20,9 @@
 
 use crate::{
     codec::UnfinishedBytes,
-    dial, link,
+    dial,
+    exchange::{ExchangeQueue, IncomingExchange},
+    link,
     message::{self, Heartbeat, Message},
     schedule::heartbeat_interval,
     stats::{Counters, Stats, add},
@@ -176,6 +178,7 @@
     next_serial: AtomicU64,
     accepted: AtomicUsize,
     pub(crate) unfinished: UnfinishedBytes,
+    pub(crate) exchanges: ExchangeQueue,
 }
 
 #[derive(Debug, Default)]
@@ -217,6 +220,19 @@
     ///
     /// Fails if the address can't be bound.
     pub async fn start(cfg: HubConfig, events: Sender<PeerEvent>) -> io::Result<Self> {
+        Self::start_with_exchanges(cfg, events, None).await
+    }
+
+    /// Listens for links as [`Self::start`] does, and for exchanges, which it passes on; while that channel is full, it closes them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn start_with_exchanges(
+        cfg: HubConfig,
+        events: Sender<PeerEvent>,
+        exchanges: Option<Sender<IncomingExchange>>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(cfg.listen).await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -228,6 +244,7 @@
             next_serial: AtomicU64::new(1),
             accepted: AtomicUsize::new(0),
             unfinished: UnfinishedBytes::default(),
+            exchanges,
         });
         let accept = accept_loop(listener, Arc::clone(&shared));
         let (run, accept) = abortable(panics::essential("listener for peers", accept));
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,5 +1,6 @@
 //! Links between daemons: messages, framing, and the hub that owns the listener and the links.
 //!
+//! - [`exchange`]: exchanges with targets that one daemon carries out for another.
 //! - [`hub`]: the listener, the set of peers and the links to them.
 //! - [`message`]: the messages and their encoding.
 //! - [`schedule`]: how often heartbeats are sent.
@@ -7,6 +8,7 @@
 
 mod codec;
 mod dial;
+pub mod exchange;
 pub mod hub;
 mod link;
 pub mod message;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -22,8 +22,9 @@
 
 use crate::{
     codec::FrameCodec,
+    exchange::{self, IncomingExchange},
     hub::{DownReason, PeerEvent, Registration, Shared},
-    message::{self, Hello, LENGTH_BYTES, MAX_FRAME, Message, PROTOCOL},
+    message::{self, ExchangeOpen, Hello, LENGTH_BYTES, MAX_FRAME, Message, PROTOCOL},
     schedule::KEEP_ALIVE_INTERVAL,
     stats::add,
 };
@@ -31,8 +32,8 @@
 /// The largest frame accepted before the peer's `Hello`, which limits the memory that an unknown peer can take.
 const MAX_HELLO_FRAME: usize = 4 << 10;
 
-type Reader = FramedRead<Compat<TcpStream>, FrameCodec>;
-type Writer = FramedWrite<Compat<TcpStream>, FrameCodec>;
+pub(crate) type Reader = FramedRead<Compat<TcpStream>, FrameCodec>;
+pub(crate) type Writer = FramedWrite<Compat<TcpStream>, FrameCodec>;
 
 /// The peer that a connection was dialled to.
 #[derive(Debug)]
@@ -51,7 +52,16 @@
     let mut reader = FramedRead::new(stream.clone().compat(), codec(MAX_HELLO_FRAME));
     let mut writer = FramedWrite::new(stream.clone().compat(), codec(MAX_FRAME));
     let handshake = exchange_hellos(shared, &mut reader, &mut writer);
-    let hello = future::timeout(shared.cfg.silence_limit, handshake).await.ok().flatten();
+    let first = future::timeout(shared.cfg.silence_limit, handshake).await.ok().flatten();
+    let hello = match first {
+        Some(FirstMessage::Exchange(open)) if dialled.is_none() => {
+            let exchange = IncomingExchange::new(open, reader, writer, stream);
+            exchange::pass_on(&shared.exchanges, exchange);
+            return false;
+        }
+        Some(FirstMessage::Link(hello)) => Some(hello),
+        Some(FirstMessage::Exchange(_)) | None => None,
+    };
     let hello = hello.filter(|hello| is_acceptable(&shared.cfg.id, hello, dialled));
     let peer = hello.as_ref().map(|hello| Name::new(&hello.instance));
     let registration = match (&hello, &peer) {
@@ -107,11 +117,17 @@
     true
 }
 
+/// The first message on a connection, which tells what the connection is for.
+enum FirstMessage {
+    Link(Hello),
+    Exchange(ExchangeOpen),
+}
+
 async fn exchange_hellos(
     shared: &Shared,
     reader: &mut Reader,
     writer: &mut Writer,
-) -> Option<Hello> {
+) -> Option<FirstMessage> {
     let own = Hello {
         protocol: PROTOCOL,
         instance: shared.cfg.id.to_string(),
@@ -124,7 +140,10 @@
     let frame = reader.next().await?.ok()?.freeze();
     count_received(shared, &frame);
     match message::decode(frame) {
-        Ok(Some(Message::Hello(hello))) => Some(hello),
+        Ok(Some(Message::Hello(hello))) => Some(FirstMessage::Link(hello)),
+        Ok(Some(Message::ExchangeOpen(open))) if open.protocol == PROTOCOL => {
+            Some(FirstMessage::Exchange(open))
+        }
         _ => None,
     }
 }
@@ -175,7 +194,9 @@
             continue;
         }
         let message = match message::decode(frame) {
-            Ok(Some(Message::Hello(_))) | Err(_) => return DownReason::Malformed,
+            Ok(Some(Message::Hello(_) | Message::ExchangeOpen(_))) | Err(_) => {
+                return DownReason::Malformed;
+            }
             Ok(Some(message)) => message,
             // A kind of message that only a newer version knows.
             Ok(None) => continue,
--- a/crates/peer/src/message/mod.rs
+++ b/crates/peer/src/message/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`calls`]: calls to the key-value service that one daemon makes for another.
 //! - [`config`]: parts of the configuration.
+//! - [`exchange`]: exchanges with targets that one daemon carries out for another.
 //! - [`jobs`]: batch jobs.
 //! - [`limits`]: targets that limit the requests of all instances together.
 //! - [`links`]: links, and messages that are relayed over several links.
@@ -13,6 +14,7 @@
 
 pub mod calls;
 pub mod config;
+pub mod exchange;
 pub mod jobs;
 pub mod limits;
 pub mod links;
@@ -28,6 +30,7 @@
 
 pub use calls::{StoreCall, StoreCallAnswer, StoreCallOutcome, StoreMethod};
 pub use config::{ConfigChunk, ConfigFetch};
+pub use exchange::ExchangeOpen;
 pub use jobs::{JobAccepted, JobAnswer, JobCancelled, JobRequest, JobStatus};
 pub use limits::TargetLimit;
 pub use links::{Flood, Forward, Hello, Leaving, LinkRole};
@@ -142,13 +145,16 @@
     /// Answers with the version that began a stream.
     #[prost(message, tag = "31")]
     OriginAnswer(OriginAnswer),
+    /// Opens an exchange with a target; the first message on a connection that is no link.
+    #[prost(message, tag = "32")]
+    ExchangeOpen(ExchangeOpen),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
 struct Envelope {
     #[prost(
         oneof = "Message",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32"
     )]
     message: Option<Message>,
 }
