--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -223,6 +223,8 @@
         BadAnswer,
         /// The target shut down gracefully, which makes no request a suspect.
         Drained,
+        /// The link of this instance to the target is lost, which says nothing about the target or the request.
+        LinkLost,
     }
 }
 
--- a/crates/policy/src/dispatch/outcome.rs
+++ b/crates/policy/src/dispatch/outcome.rs
@@ -85,7 +85,8 @@
                 (AttemptEnd::Neutral, Some(HealthEvent::Failure))
             }
             // The target accepts connections, so it has not died, and its other answers may still arrive.
-            FailureCause::AnswerLost => (AttemptEnd::Neutral, None),
+            // Neither can a link that is lost show anything of its target.
+            FailureCause::AnswerLost | FailureCause::LinkLost => (AttemptEnd::Neutral, None),
         };
         let suspect_parts = match cause {
             FailureCause::Crashed if !is_leaving => self.suspect_parts(id),
@@ -102,8 +103,9 @@
             return;
         }
         // Retries after a drain are not taken from the retry budget: a drain interrupts each request at most once, so they
-        // cannot multiply.
-        self.retry(now, id, &released, cause != FailureCause::Drained && !is_leaving);
+        // cannot multiply. The budget protects targets, which get nothing on a lost link.
+        let is_counted = !matches!(cause, FailureCause::Drained | FailureCause::LinkLost);
+        self.retry(now, id, &released, is_counted && !is_leaving);
     }
 
     /// Requeues a request that its target refused without running it. This does not count as an attempt.
