Serve callers through another daemon while the links to the targets are lost

Cause: a daemon takes each failure of its own links for one of the target, so it holds sound targets down, spends attempts and the retry budget, and has no other path. Class: a failure on the way is taken as one of the other end.

Change: every request to a target goes through target_paths::send. If a connection fails, or is not open after 100 ms, other daemons are asked; one that reaches the target carries the exchange, and the link counts as lost until a direct connection opens. A monitor checks links that owe an answer in silence, so that requests in flight leave a lost link. Failures on it are FailureCause::LinkLost.

Why it works: a failure is compared with what another daemon finds at the same moment, and nothing is sent to the target before a path is known to work.

--- a/crates/borageshed/src/api/admin.rs
+++ b/crates/borageshed/src/api/admin.rs
@@ -48,6 +48,7 @@
     let cx = req.state();
     if let Some(control) = cx.control.summary().await {
         cx.metrics.peers.set(control.peers.len() as i64);
+        cx.metrics.lost_links.set(cx.target_paths.lost_count() as i64);
         cx.metrics.slots.set(i64::from(control.slots_held));
         let cold = control.services.iter().map(|it| it.cold_targets.len()).sum::<usize>();
         cx.metrics.cold_targets.set(cold as i64);
--- a/crates/borageshed/src/batch_work/item.rs
+++ b/crates/borageshed/src/batch_work/item.rs
@@ -5,10 +5,7 @@
 use async_std::{io::ReadExt as _, task};
 use batch::{ItemOutcome, Value, output::MAX_LINE_BYTES};
 use futures::future::{Either, select};
-use http_edge::{
-    client::{Failure, Progress, SendError},
-    status::Status,
-};
+use http_edge::{client::Progress, status::Status};
 use http_types::Response;
 use policy::dispatch::{Execution, FailureCause, NotRunCause, Reason, Refusal};
 use slog::debug;
@@ -17,8 +14,9 @@
 use super::queue_limits::WaitingGuard;
 use crate::{
     control::{Admission, Directive},
-    online::{Call, attempt},
+    online::{Call, attempt, protocol},
     shared::Shared,
+    target_paths::{SendError, TargetFailure, TargetRef},
 };
 
 /// How long a segment starts no further item after one was refused without having run.
@@ -79,9 +77,8 @@
     admission: Admission,
     target: &Name,
 ) -> AttemptResult {
-    let address = cx.directory.address(&call.service, target);
     // A target without an address has been removed since the dispatch, so the request was not sent.
-    let Some((address, req)) = address.and_then(|it| Some((it, call.message.request(it)?))) else {
+    let Some(address) = cx.directory.address(&call.service, target) else {
         admission.failed_before_send();
         return AttemptResult::Next(admission);
     };
@@ -91,11 +88,12 @@
     }
     let started = cx.clock.now();
     let exchange = async {
-        match cx.client.send(address, &call.request_id, req).await {
+        let to = TargetRef { service: &call.service, target, address };
+        match protocol::send(cx, call, to, None).await {
             Ok(res) => read_answer(res).await,
             Err(e) if e.progress == Progress::NotSent => ExchangeResult::NotSent(e),
             Err(e) => {
-                if e.failure == Failure::FirstByteTimeout {
+                if e.failure.is_first_byte_timeout() {
                     attempt::close_idle_connections(cx, call, address);
                 }
                 ExchangeResult::Failed(attempt::failure_cause(Some(&e.failure)), e.to_string())
@@ -183,7 +181,7 @@
 }
 
 fn io_failure_cause(error: &io::Error) -> FailureCause {
-    attempt::failure_cause(Failure::from_io(error))
+    attempt::failure_cause(TargetFailure::from_io(error).as_ref())
 }
 
 /// Returns the outcome that an answer of the target gives the item.
--- a/crates/borageshed/src/control/handle.rs
+++ b/crates/borageshed/src/control/handle.rs
@@ -118,6 +118,11 @@
         self.directives.recv().await.ok()
     }
 
+    /// Reports that the answer comes through another daemon.
+    pub fn answered_through_peer(&self) {
+        self.report(Event::AnsweredThroughPeer { id: self.id });
+    }
+
     /// Reports that the first byte of the answer arrived.
     pub fn first_byte(&self) {
         self.report(Event::FirstByte { id: self.id });
--- a/crates/borageshed/src/daemon.rs
+++ b/crates/borageshed/src/daemon.rs
@@ -12,6 +12,7 @@
 use anyhow::{Context, Result};
 use async_channel::{Receiver, Sender};
 use async_std::task;
+use futures::future::join;
 use http_edge::{
     client::{Client, ClientSettings, RequestIdCheck},
     server::Server,
@@ -36,7 +37,7 @@
     retirement,
     settings::{FleetSource, Settings},
     shared::{Parts, Shared},
-    silence, streams, summary,
+    silence, streams, summary, target_paths,
     tasks::spawn_essential,
     verdicts,
 };
@@ -139,6 +140,8 @@
     // Nothing else sets the cell, so this cannot fail.
     let _ = cx.peers.set(peers.clone());
     spawn_essential("peers", peers::run(Arc::clone(&cx), peers.clone()));
+    spawn_essential("exchanges", target_paths::serve(Arc::clone(&cx), peers.exchanges()));
+    spawn_essential("links to targets", target_paths::monitor(Arc::clone(&cx)));
     spawn_essential("effects", effects::run(Arc::clone(&cx), peers.clone(), effects));
     spawn_essential("verdicts", verdicts::load_verdicts(Arc::clone(&cx)));
     spawn_essential("summary", summary::run(Arc::clone(&cx)));
@@ -213,10 +216,17 @@
     cx.draining.set();
     peers.announce_leaving();
     let mut cut = 0;
-    if let Some(callers) = callers {
-        // The load balancer polls the readiness of the instance, and sends connections until it sees the change.
-        task::sleep(lead).await;
-        cut = callers.drain(limit).await.closed_at_deadline;
+    let exchanges_ended = async_std::future::timeout(lead + limit, cx.target_paths.until_idle());
+    let callers_drained = async {
+        if let Some(callers) = callers {
+            // The load balancer polls the readiness of the instance, and sends connections until it sees the change.
+            task::sleep(lead).await;
+            cut = callers.drain(limit).await.closed_at_deadline;
+        }
+    };
+    let ((), exchanges_ended) = join(callers_drained, exchanges_ended).await;
+    if exchanges_ended.is_err() {
+        warn!(cx.log, "drain ends exchanges for other daemons"; "exchanges" => cx.target_paths.served_count());
     }
     if cx.settings.batch.enabled && cx.settings.source == FleetSource::Document {
         // Segments that are not released are taken over by other instances when the lease lapses.
--- a/crates/borageshed/src/directory.rs
+++ b/crates/borageshed/src/directory.rs
@@ -158,6 +158,12 @@
         self.at_address(address).any(|it| it.cold_until.is_some_and(|until| now < until))
     }
 
+    /// Returns a target that listens on an address, with its name.
+    pub fn named_at(&self, address: SocketAddr) -> Option<(&TargetName, &TargetEntry)> {
+        let at_address = || self.entries.iter().filter(move |(_, it)| it.address == address);
+        at_address().find(|(_, it)| it.listed).or_else(|| at_address().next())
+    }
+
     /// Returns the targets that listen on an address.
     pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &TargetEntry> {
         self.entries.values().filter(move |it| it.address == address)
--- a/crates/borageshed/src/effects.rs
+++ b/crates/borageshed/src/effects.rs
@@ -19,6 +19,7 @@
     online::protocol,
     peers::Peers,
     shared::Shared,
+    target_paths::{self, OnLoss, Outgoing, TargetRef},
     verdicts::{self, part_digits},
 };
 
@@ -108,10 +109,15 @@
     let path = in_force.document().services.get(service).map(|it| it.health_path.clone());
     let Some(path) = path else { return false };
     let Ok(url) = Url::parse(&format!("http://{address}{path}")) else { return false };
-    let req = Request::new(Method::Get, url);
     let request_id = cx.request_id();
     let sent_at = cx.clock.now();
-    let answer = cx.client.send_over_new_connection(address, &request_id, req);
+    let probe = Outgoing {
+        request_id: &request_id,
+        on_loss: OnLoss::SendAgain,
+        may_reuse: false,
+        build: &|| Some(Request::new(Method::Get, url.clone())),
+    };
+    let answer = target_paths::send(cx, TargetRef { service, target, address }, &probe);
     match timeout(PROBE_TIMEOUT, answer).await {
         Ok(Ok(res)) => protocol::shows_health(cx, &res, service, target, sent_at),
         Ok(Err(_)) | Err(_) => false,
--- a/crates/borageshed/src/job_work/item.rs
+++ b/crates/borageshed/src/job_work/item.rs
@@ -8,10 +8,7 @@
 
 use async_std::{future::timeout, io::ReadExt as _, task};
 use futures::future::{Either, select};
-use http_edge::{
-    client::{Failure, Progress, SendError},
-    status::Status,
-};
+use http_edge::{client::Progress, status::Status};
 use http_types::Response;
 use jobs::ItemEnd;
 use policy::dispatch::{FailureCause, NotRunCause, Reason};
@@ -29,6 +26,7 @@
         source::{AnswerSource, VersionCheck},
     },
     shared::Shared,
+    target_paths::{AnsweredThroughPeer, SendError, TargetFailure, TargetRef},
 };
 
 /// The shortest and the longest delay before a refused item is submitted again.
@@ -191,10 +189,8 @@
     (target, version): (&Name, &Name),
     output: &SharedOutput,
 ) -> AttemptOutcome {
-    let address = cx.directory.address(&call.service, target);
     let last_event = output.lock().begin_attempt(version);
-    let req = address.and_then(|it| protocol::request(cx, call, it, target, last_event));
-    let (Some(address), Some(req)) = (address, req) else {
+    let Some(address) = cx.directory.address(&call.service, target) else {
         debug!(cx.log, "item not sent: its target has gone"; "request" => &call.request_id, "target" => %target);
         admission.failed_before_send();
         return AttemptOutcome::AwaitDirective(admission);
@@ -203,8 +199,9 @@
         admission.not_run(NotRunCause::Evacuated);
         return AttemptOutcome::AwaitDirective(admission);
     }
+    let to = TargetRef { service: &call.service, target, address };
     let started = cx.clock.now();
-    let sent = Box::pin(cx.client.send(address, &call.request_id, req));
+    let sent = Box::pin(protocol::send(cx, call, to, last_event));
     let outcome = match select(sent, Box::pin(admission.next())).await {
         Either::Left((Ok(res), _)) => SendOutcome::Answered(Box::new(res)),
         Either::Left((Err(e), _)) => SendOutcome::Failed(e),
@@ -221,7 +218,7 @@
             return AttemptOutcome::AwaitDirective(admission);
         }
         SendOutcome::Failed(e) => {
-            let cause = attempt::diagnose_failure(cx, address, Some(&e.failure)).await;
+            let cause = attempt::diagnose_failure(cx, to, Some(&e.failure)).await;
             debug!(cx.log, "item attempt failed"; "request" => &call.request_id, "target" => %target, "error" => %e, "cause" => ?cause);
             admission.failed_after_send(cause);
             return AttemptOutcome::AwaitDirective(admission);
@@ -284,7 +281,8 @@
                 }
                 output.last_id()
             };
-            let cause = attempt::diagnose_failure(cx, address, Failure::from_io(&e)).await;
+            let failure = TargetFailure::from_io(&e);
+            let cause = attempt::diagnose_failure(cx, to, failure.as_ref()).await;
             info!(
                 cx.log, "item stream broke";
                 "request" => &call.request_id, "target" => %target, "last_event" => last_event,
@@ -307,7 +305,8 @@
 fn starts_anew_after(error: &io::Error) -> bool {
     // A stream without an end is a fault of the target, so none of its output is kept. If a target sends nothing after the last event, and
     // no length, it may have nothing left to send or have ended; asking again cannot tell, and a run from the start can.
-    StreamError::is_limit_in(error) || Failure::from_io(error) == Some(&Failure::EmptyBody)
+    StreamError::is_limit_in(error)
+        || TargetFailure::from_io(error).is_some_and(|it| it.is_empty_body())
 }
 
 fn millis_since(cx: &Shared, started: Timestamp) -> u64 {
@@ -378,6 +377,7 @@
     let mut directives = Box::pin(admission.next());
     let (mut events, mut last_event_at) = (output.lock().event_count(), cx.clock.now());
     let (mut meter, mut has_output) = (EventGapMeter::default(), false);
+    let is_direct = res.ext().get::<AnsweredThroughPeer>().is_none();
     loop {
         let left = EVENT_TIMEOUT.saturating_sub(cx.clock.now().since(last_event_at));
         if left.is_zero() {
@@ -414,7 +414,9 @@
                 admission.output_begun();
             }
             (events, last_event_at) = (event_count, cx.clock.now());
-            protocol::report_event_gap(cx, call, target, &mut meter, events);
+            if is_direct {
+                protocol::report_event_gap(cx, call, target, &mut meter, events);
+            }
         }
     }
 }
--- a/crates/borageshed/src/lib.rs
+++ b/crates/borageshed/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`load_reports`]: reads the load that targets report.
 //! - [`membership`], [`peers`], [`loans`], [`suspects`]: communication with other daemons.
 //! - [`streams`]: which software version began a caller's stream.
+//! - [`target_paths`]: the paths of requests to targets, directly or through other daemons.
 //! - [`target_limits`]: messages about targets that limit the requests of all instances together.
 //! - [`silence`]: resets silent connections to targets.
 //! - [`tasks`]: runs tasks whose panics must not pass unnoticed.
@@ -63,5 +64,6 @@
 pub mod summary;
 pub mod suspects;
 pub mod target_limits;
+pub mod target_paths;
 pub mod tasks;
 pub mod verdicts;
--- a/crates/borageshed/src/membership.rs
+++ b/crates/borageshed/src/membership.rs
@@ -43,6 +43,7 @@
         admits_callers: cx.settings.listen.is_some(),
         runs_items: cx.settings.batch.enabled,
         capacity: millicores(cx.settings.cpu_share),
+        exchange_token: cx.target_paths.token().to_owned(),
     };
     let value = serde_json::to_vec(&record).expect("a record is plain JSON");
     while !cx.draining.is_set() {
@@ -148,8 +149,13 @@
                 runs_items: record.runs_items,
                 registered: true,
             };
-            let (address, admits_callers) = (record.address, record.admits_callers);
-            Some((name, PeerInfo { member, address, admits_callers }))
+            let info = PeerInfo {
+                member,
+                address: record.address,
+                admits_callers: record.admits_callers,
+                exchange_token: record.exchange_token,
+            };
+            Some((name, info))
         }
         Err(e) => {
             warn!(cx.log, "record of a daemon cannot be decoded"; "key" => %entry.key, "error" => %e);
@@ -196,7 +202,12 @@
                 runs_items: false,
                 registered: false,
             };
-            let info = PeerInfo { member, address: peer.address, admits_callers: false };
+            let info = PeerInfo {
+                member,
+                address: peer.address,
+                admits_callers: false,
+                exchange_token: String::new(),
+            };
             (peer.instance.clone(), info)
         });
         let mut known: BTreeMap<Name, PeerInfo> = from_settings.collect();
@@ -207,7 +218,9 @@
         }));
         known.remove(&cx.settings.instance);
         debug!(cx.log, "registered daemons changed"; "daemons" => members.len(), "dialled" => known.len());
-        peers.set_known(cx, known.into_values().collect());
+        let known: Vec<_> = known.into_values().collect();
+        cx.target_paths.set_peers(&cx.settings.failure_domain, &known);
+        peers.set_known(cx, known);
         let admitting = admitting.collect();
         cx.control.send(ControlEvent::Members { admitting, runners, are_current });
     }
--- a/crates/borageshed/src/metrics.rs
+++ b/crates/borageshed/src/metrics.rs
@@ -52,6 +52,12 @@
     pub target_handled_well: Family<TargetLabels, Gauge<f64, AtomicU64>>,
     /// Reads of the load of targets for waiting requests.
     pub load_reads: Counter,
+    /// Requests that this daemon sent to targets through other daemons.
+    pub exchanges_through_peers: Counter,
+    /// Requests that this daemon sent to targets for other daemons.
+    pub exchanges_for_peers: Counter,
+    /// Links to targets that are lost although other daemons reach the targets.
+    pub lost_links: Gauge,
     /// Bytes that callers make the process hold, and the most that they may.
     pub caller_memory: Gauge,
     /// See [`Self::caller_memory`].
@@ -211,6 +217,24 @@
             "Reads of the load of targets for waiting requests",
             load_reads.clone(),
         );
+        let exchanges_through_peers = Counter::default();
+        registry.register(
+            "exchanges_through_peers",
+            "Requests sent to targets through other daemons",
+            exchanges_through_peers.clone(),
+        );
+        let exchanges_for_peers = Counter::default();
+        registry.register(
+            "exchanges_for_peers",
+            "Requests sent to targets for other daemons",
+            exchanges_for_peers.clone(),
+        );
+        let lost_links = Gauge::default();
+        registry.register(
+            "lost_links",
+            "Links to targets that are lost although other daemons reach the targets",
+            lost_links.clone(),
+        );
         let caller_memory = Gauge::default();
         let caller_memory_limit = Gauge::default();
         let refused_clients = Family::default();
@@ -234,6 +258,9 @@
             target_relative_time,
             target_handled_well,
             load_reads,
+            exchanges_through_peers,
+            exchanges_for_peers,
+            lost_links,
             requests,
             request_seconds,
             first_byte_seconds,
--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -5,7 +5,7 @@
 use async_std::{future::timeout, io::ReadExt as _, task};
 use futures::future::{Either, select};
 use http_edge::{
-    client::{Failure, Progress, SendError},
+    client::{Failure, Progress},
     framing::BodyError,
     problem::{Execution, Problem, ProblemKind},
     server::Caller,
@@ -27,6 +27,7 @@
     control::{Admission, Directive},
     settings::FleetSource,
     shared::Shared,
+    target_paths::{self, AnsweredThroughPeer, SendError, TargetFailure, TargetRef},
 };
 
 /// Smaller answers are delivered only once they are complete, so that the request can be retried on another target if this
@@ -77,14 +78,13 @@
     (target, version): (&Name, &Name),
     caller: &Caller,
 ) -> AttemptEnd {
-    let address = cx.directory.address(&call.service, target);
     let last_event = call.last_event();
-    let req = address.and_then(|it| protocol::request(cx, call, it, target, last_event));
     // A target without an address has been removed since the dispatch, so the request was not sent.
-    let (Some(address), Some(req)) = (address, req) else {
+    let Some(address) = cx.directory.address(&call.service, target) else {
         admission.failed_before_send();
         return AttemptEnd::Next(admission);
     };
+    let to = TargetRef { service: &call.service, target, address };
     if !cx.evacuations.allows(cx, &call.service, target) {
         admission.not_run(NotRunCause::Evacuated);
         return AttemptEnd::Next(admission);
@@ -92,26 +92,27 @@
     let started = cx.clock.now();
     let interrupts =
         InterruptSources { cx, caller, deadline: call.deadline.unwrap_or(started + call.timeout) };
-    let mut res = match interrupts
-        .race(&admission, cx.client.send(address, &call.request_id, req))
-        .await
+    let mut res = match interrupts.race(&admission, protocol::send(cx, call, to, last_event)).await
     {
         Ok(Ok(res)) => res,
         Ok(Err(e)) => {
             debug!(cx.log, "attempt failed"; "request" => &call.request_id, "target" => %target, "error" => %e);
-            if e.failure == Failure::FirstByteTimeout {
+            if e.failure.is_first_byte_timeout() {
                 close_idle_connections(cx, call, address);
             }
-            report_send_error(cx, &admission, address, &e).await;
+            report_send_error(cx, &admission, to, &e).await;
             return AttemptEnd::Next(admission);
         }
         Err(interrupt) => {
             if matches!(interrupt, Interrupt::Deadline) {
                 close_idle_connections(cx, call, address);
             }
-            return end_interrupted(admission, interrupt);
+            return end_interrupted(admission, interrupt, timeout_cause(cx, address));
         }
     };
+    if res.ext().get::<AnsweredThroughPeer>().is_some() {
+        admission.answered_through_peer();
+    }
     if let Some(cause) = protocol::not_run_cause(cx, call, target, &res, started) {
         debug!(cx.log, "target did not run the request"; "request" => &call.request_id, "target" => %target, "cause" => ?cause);
         discard_body(&mut res).await;
@@ -134,7 +135,7 @@
             Ok(VersionCheck::Unconfirmed) => return AttemptEnd::Final(version_not_confirmed()),
             Err(interrupt) => {
                 drop(res);
-                return end_interrupted(admission, interrupt);
+                return end_interrupted(admission, interrupt, timeout_cause(cx, address));
             }
         }
     }
@@ -186,12 +187,13 @@
         Ok(Err(e)) => {
             debug!(cx.log, "answer broke"; "request" => &call.request_id, "target" => %target, "error" => %e);
             drop(res);
-            admission.failed_after_send(diagnose_failure(cx, address, Failure::from_io(&e)).await);
+            let failure = TargetFailure::from_io(&e);
+            admission.failed_after_send(diagnose_failure(cx, to, failure.as_ref()).await);
             AttemptEnd::Next(admission)
         }
         Err(interrupt) => {
             drop(res);
-            end_interrupted(admission, interrupt)
+            end_interrupted(admission, interrupt, timeout_cause(cx, address))
         }
     }
 }
@@ -218,26 +220,44 @@
 /// Returns the cause of a failure after sending.
 ///
 /// If the connection to a registered target was lost, checks whether the target still accepts connections: if so, only the
-/// answer was lost; if they are refused, the target has ended. Without an answer to the check, both are possible.
+/// answer was lost; if they are refused, the target has ended. Without an answer to the check, both are possible. If another daemon
+/// reaches the target, the link of this one is lost, which shows nothing of the target.
 pub(crate) async fn diagnose_failure(
     cx: &Shared,
-    address: SocketAddr,
-    failure: Option<&Failure>,
+    to: TargetRef<'_>,
+    failure: Option<&TargetFailure>,
 ) -> FailureCause {
-    match failure_cause(failure) {
-        FailureCause::ConnectionLost if cx.settings.source == FleetSource::Operator => {
-            match protocol::check_liveness(cx, address).await {
-                Liveness::Alive => FailureCause::AnswerLost,
-                Liveness::Ended => FailureCause::Crashed,
-                Liveness::Unknown => FailureCause::ConnectionLost,
-            }
+    let cause = failure_cause(failure);
+    let is_direct = matches!(failure, None | Some(TargetFailure::Direct(_)));
+    if is_direct && cx.target_paths.is_lost(to.address) {
+        return FailureCause::LinkLost;
+    }
+    let is_registered = cx.settings.source == FleetSource::Operator;
+    if !is_direct || !is_registered || cause != FailureCause::ConnectionLost {
+        return cause;
+    }
+    match protocol::check_liveness(cx, to.address).await {
+        Liveness::Alive => FailureCause::AnswerLost,
+        Liveness::Ended | Liveness::Unknown if target_paths::is_link_lost(cx, to).await => {
+            FailureCause::LinkLost
         }
-        cause => cause,
+        Liveness::Ended => FailureCause::Crashed,
+        Liveness::Unknown => FailureCause::ConnectionLost,
     }
 }
 
 /// Returns the cause of a failure after sending, without checking whether the target is alive.
-pub(crate) fn failure_cause(failure: Option<&Failure>) -> FailureCause {
+pub(crate) fn failure_cause(failure: Option<&TargetFailure>) -> FailureCause {
+    match failure {
+        None => direct_failure_cause(None),
+        Some(TargetFailure::Direct(failure)) => direct_failure_cause(Some(failure)),
+        Some(TargetFailure::ThroughPeer { cause, .. }) => *cause,
+        Some(TargetFailure::LinkLost | TargetFailure::PeerLost { .. }) => FailureCause::LinkLost,
+    }
+}
+
+/// Returns the cause of a failure on a direct connection.
+pub(crate) fn direct_failure_cause(failure: Option<&Failure>) -> FailureCause {
     match failure {
         Some(
             Failure::Io(_)
@@ -289,11 +309,23 @@
     );
 }
 
-fn end_interrupted(admission: Admission, interrupt: Interrupt) -> AttemptEnd {
+/// Returns the cause of an answer that did not come in time.
+fn timeout_cause(cx: &Shared, address: SocketAddr) -> FailureCause {
+    match cx.target_paths.is_lost(address) {
+        true => FailureCause::LinkLost,
+        false => FailureCause::BadAnswer,
+    }
+}
+
+fn end_interrupted(
+    admission: Admission,
+    interrupt: Interrupt,
+    timeout_cause: FailureCause,
+) -> AttemptEnd {
     match interrupt {
         Interrupt::CallerGone => AttemptEnd::CallerGone,
         Interrupt::Deadline => {
-            admission.failed_after_send(FailureCause::BadAnswer);
+            admission.failed_after_send(timeout_cause);
             let detail = "the target sent no complete answer in time";
             AttemptEnd::Final(
                 Problem::new(ProblemKind::TargetTimeout, Execution::Unknown, detail)
@@ -316,13 +348,13 @@
 async fn report_send_error(
     cx: &Shared,
     admission: &Admission,
-    address: SocketAddr,
+    to: TargetRef<'_>,
     error: &SendError,
 ) {
     match error.progress {
         Progress::NotSent => admission.failed_before_send(),
         Progress::Sent => {
-            admission.failed_after_send(diagnose_failure(cx, address, Some(&error.failure)).await);
+            admission.failed_after_send(diagnose_failure(cx, to, Some(&error.failure)).await);
         }
     }
 }
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -4,11 +4,7 @@
 
 use async_std::{future::timeout, io::ReadExt as _, task};
 use futures::future::{Either, select};
-use http_edge::{
-    client::{Failure, Progress},
-    server::Caller,
-    status::Status,
-};
+use http_edge::{client::Progress, server::Caller, status::Status};
 use http_types::{Request, Response, StatusCode};
 use policy::{
     dispatch::{FailureCause, NotRunCause},
@@ -31,6 +27,7 @@
     control::{Admission, Directive},
     settings::FleetSource,
     shared::Shared,
+    target_paths::{AnsweredThroughPeer, TargetFailure, TargetRef},
     tasks::contain,
 };
 
@@ -116,6 +113,7 @@
             res.header("x-engine-request-id").map(|it| it.last().as_str().to_owned());
         let mut splitter = EventSplitter::after(self.call.last_event());
         let (mut meter, mut is_resumed) = (EventGapMeter::default(), false);
+        let is_direct = res.ext().get::<AnsweredThroughPeer>().is_none();
         let mut resumes = 0;
         // Events of the current attempt follow those of the attempts before it.
         let (mut events_before, mut has_output) = (0, false);
@@ -130,7 +128,7 @@
                         self.record_origin(&source);
                     }
                     // After a resumption on any target, `self.target` may not be the target that sends the stream.
-                    if !is_resumed {
+                    if !is_resumed && is_direct {
                         protocol::report_event_gap(
                             &self.cx,
                             &self.call,
@@ -241,14 +239,24 @@
         last_event: Option<u64>,
         error: &io::Error,
     ) -> ResumeOutcome {
-        let failure = Failure::from_io(error);
-        let cause = attempt::diagnose_failure(&self.cx, self.address, failure).await;
+        let cause = self.diagnose(error).await;
         info!(
             self.cx.log, "stream broke";
             "request" => &self.call.request_id, "target" => %self.target, "last_event" => last_event,
             "cause" => ?cause, "error" => %error
         );
-        self.admission.failed_after_send(cause);
+        if cause == FailureCause::LinkLost {
+            // The target itself is sound, and keeps what it has read of the prompt, so the stream goes on there through another daemon.
+            match self.resume_on((&self.target, &self.version), last_event).await {
+                ResumeAttempt::Sending(res, source) => {
+                    return ResumeOutcome::Continued(res, source);
+                }
+                ResumeAttempt::Failed => {}
+                ResumeAttempt::Unconfirmed => return ResumeOutcome::Withdrawn,
+            }
+        } else {
+            self.admission.failed_after_send(cause);
+        }
         loop {
             let too_late = Box::pin(self.cx.drain.too_late(&self.cx.clock, &self.call));
             let late_or_gone = select(too_late, Box::pin(self.caller.closed()));
@@ -282,20 +290,18 @@
         (target, version): (&Name, &Name),
         last_event: Option<u64>,
     ) -> ResumeAttempt {
-        let address = self.cx.directory.address(&self.call.service, target);
-        let req =
-            address.and_then(|it| protocol::request(&self.cx, &self.call, it, target, last_event));
-        let (Some(address), Some(req)) = (address, req) else {
+        let Some(address) = self.cx.directory.address(&self.call.service, target) else {
             self.admission.failed_before_send();
             return ResumeAttempt::Failed;
         };
+        let to = TargetRef { service: &self.call.service, target, address };
         if !self.cx.evacuations.allows(&self.cx, &self.call.service, target) {
             self.admission.not_run(NotRunCause::Evacuated);
             return ResumeAttempt::Failed;
         }
         let sent_at = self.cx.clock.now();
         let time_left = self.call.time_left(sent_at);
-        let sent = self.cx.client.send(address, &self.call.request_id, req);
+        let sent = protocol::send(&self.cx, &self.call, to, last_event);
         let res = match timeout(time_left, sent).await {
             Ok(Ok(res)) => res,
             Ok(Err(e)) if e.progress == Progress::NotSent => {
@@ -303,7 +309,7 @@
                 return ResumeAttempt::Failed;
             }
             Ok(Err(e)) => {
-                let cause = attempt::diagnose_failure(&self.cx, address, Some(&e.failure)).await;
+                let cause = attempt::diagnose_failure(&self.cx, to, Some(&e.failure)).await;
                 self.admission.failed_after_send(cause);
                 return ResumeAttempt::Failed;
             }
@@ -459,13 +465,18 @@
 
     async fn fail(self, tx: &BodySender, error: io::Error) {
         warn!(self.cx.log, "answer broke off"; "request" => &self.call.request_id, "error" => %error);
-        let cause =
-            attempt::diagnose_failure(&self.cx, self.address, Failure::from_io(&error)).await;
+        let cause = self.diagnose(&error).await;
         self.admission.failed_after_send(cause);
         // The caller may have gone.
         let _ = tx.error(error).await;
     }
 
+    async fn diagnose(&self, error: &io::Error) -> FailureCause {
+        let (service, target) = (&self.call.service, &self.target);
+        let to = TargetRef { service, target, address: self.address };
+        attempt::diagnose_failure(&self.cx, to, TargetFailure::from_io(error).as_ref()).await
+    }
+
     /// Ends the answer because of a directive, the deadline or a caller that has gone. The body ends with an error, because its sender is
     /// dropped without the end.
     fn stop(self, tx: &BodySender) {
--- a/crates/borageshed/src/online/protocol.rs
+++ b/crates/borageshed/src/online/protocol.rs
@@ -12,11 +12,12 @@
 use slog::{error, warn};
 use stdx::{HeaderText, Name, Timestamp};
 
-use super::{Call, event_gap::EventGapMeter};
+use super::{Call, Resumption, event_gap::EventGapMeter};
 use crate::{
     control::ControlEvent,
     settings::{FleetSource, LearnedCapacity},
     shared::Shared,
+    target_paths::{self, OnLoss, Outgoing, SendError, TargetRef},
 };
 
 /// Builds the request for one attempt; `None` if the address does not form a valid URL, or if the account or the target has a
@@ -53,6 +54,31 @@
     Some(req)
 }
 
+/// Sends one attempt of a request to a target, and returns the answer as soon as its head has arrived.
+///
+/// # Errors
+///
+/// Fails if no valid answer head arrives, or the request cannot be built.
+pub async fn send(
+    cx: &Shared,
+    call: &Call,
+    to: TargetRef<'_>,
+    last_event: Option<u64>,
+) -> Result<Response, SendError> {
+    let on_loss = match call.resumption {
+        Resumption::AnyTarget { .. } => OnLoss::SendAgainOrResume,
+        _ if call.idempotent => OnLoss::SendAgain,
+        _ => OnLoss::Wait,
+    };
+    let outgoing = Outgoing {
+        request_id: &call.request_id,
+        on_loss,
+        may_reuse: true,
+        build: &|| request(cx, call, to.address, to.target, last_event),
+    };
+    target_paths::send(cx, to, &outgoing).await
+}
+
 /// Converts a name to the value of a header; `None`, with a log line, if no header can carry it.
 fn header_text(cx: &Shared, call: &Call, name: &Name) -> Option<HeaderText> {
     HeaderText::try_from(name.clone())
--- a/crates/borageshed/src/online/source.rs
+++ b/crates/borageshed/src/online/source.rs
@@ -12,7 +12,7 @@
 use slog::info;
 use stdx::Name;
 
-use crate::{settings::FleetSource, shared::Shared};
+use crate::{settings::FleetSource, shared::Shared, target_paths::AnsweredThroughPeer};
 
 /// The longest time that the list of targets is awaited before an answer goes on at another target.
 const MAX_CHECK: Duration = Duration::from_millis(600);
@@ -45,7 +45,9 @@
 impl AnswerSource {
     /// Returns the source of an answer to a request that was placed at a target of a version.
     pub fn of(res: &Response, target: &Name, version: &Name) -> Self {
-        let opened_at = res.ext().get::<AnswerInfo>().map_or_else(Instant::now, |it| it.opened_at);
+        let direct = res.ext().get::<AnswerInfo>().map(|it| it.opened_at);
+        let through_peer = res.ext().get::<AnsweredThroughPeer>().map(|it| it.opened_at);
+        let opened_at = direct.or(through_peer).unwrap_or_else(Instant::now);
         Self { target: target.clone(), version: version.clone(), opened_at }
     }
 
--- a/crates/borageshed/src/peers/links.rs
+++ b/crates/borageshed/src/peers/links.rs
@@ -30,6 +30,8 @@
         pub address: SocketAddr,
         /// Whether it admits requests of callers.
         pub admits_callers: bool,
+        /// What this daemon has to know to send requests to targets through the other one; empty if it cannot.
+        pub exchange_token: String,
     }
 }
 
--- a/crates/borageshed/src/peers/mod.rs
+++ b/crates/borageshed/src/peers/mod.rs
@@ -36,7 +36,8 @@
 use overlay::{Frame, LoadReports, Member, Report, Role, RoutingAction};
 use peer::{
     Flood, Forward, Heartbeat, Hub, HubConfig, JobAnswer, JobCancelled, JobRequest, Leaving,
-    LinkRole, Loads, Message, OriginAnswer, OriginRequest, PeerEvent, SendError, message,
+    LinkRole, Loads, Message, OriginAnswer, OriginRequest, PeerEvent, SendError,
+    exchange::IncomingExchange, message,
 };
 use policy::{rate::RateMessage, versions::StreamId};
 use slog::{debug, info, warn};
@@ -61,6 +62,8 @@
 const MIN_SHARE_INTERVAL: Duration = Duration::from_millis(20);
 /// The capacity of the channel of link events; a full channel stops the links from reading.
 const QUEUED_EVENTS: usize = 256;
+/// The exchanges that wait to be looked at; further ones are refused.
+const QUEUED_EXCHANGES: usize = 64;
 
 /// The links to other daemons.
 #[derive(Clone)]
@@ -71,6 +74,7 @@
 struct Inner {
     hub: Hub,
     events: async_channel::Receiver<PeerEvent>,
+    exchanges: async_channel::Receiver<IncomingExchange>,
     newer_revisions: async_channel::Sender<PeerRevision>,
     links: Links,
     reads: Reads,
@@ -105,7 +109,9 @@
             settings.peer_listen,
         );
         let (events_tx, events) = async_channel::bounded(QUEUED_EVENTS);
-        let hub = Hub::start(cfg, events_tx).await?;
+        let (exchanges_tx, exchanges) = async_channel::bounded(QUEUED_EXCHANGES);
+        let exchanges_tx = cx.target_paths.is_enabled().then_some(exchanges_tx);
+        let hub = Hub::start_with_exchanges(cfg, events_tx, exchanges_tx).await?;
         let own = Member {
             name: settings.instance.clone(),
             failure_domain: settings.failure_domain.clone(),
@@ -116,6 +122,7 @@
         let inner = Inner {
             hub,
             events,
+            exchanges,
             newer_revisions,
             links: Links::new(own),
             reads: Reads::default(),
@@ -141,6 +148,11 @@
         self.update_links(cx);
     }
 
+    /// Returns the queue of exchanges with targets that other daemons ask for.
+    pub fn exchanges(&self) -> async_channel::Receiver<IncomingExchange> {
+        self.inner.exchanges.clone()
+    }
+
     /// Returns the number of other known daemons.
     pub fn known_count(&self) -> usize {
         self.inner.links.known_count()
@@ -368,10 +380,12 @@
         }
         Message::Leaving(_) => {
             info!(cx.log, "peer is leaving"; "peer" => %from);
+            cx.target_paths.on_peer_leaving(&from);
             cx.control.send(ControlEvent::PeerLeaving { peer: from });
         }
         // These are valid only between linked peers, never when forwarded.
         Message::Hello(_)
+        | Message::ExchangeOpen(_)
         | Message::LinkRole(_)
         | Message::Flood(_)
         | Message::Forward(_)
--- a/crates/borageshed/src/settings.rs
+++ b/crates/borageshed/src/settings.rs
@@ -68,6 +68,10 @@
         /// The bound on the requests that a cold target gets in a second, from all instances together.
         #[serde(default)]
         pub cold_start: ColdStart,
+        /// Whether requests go to targets through other daemons while this one's links to the targets are lost, and whether this daemon sends
+        /// requests for others.
+        #[serde(default)]
+        pub calls_through_peers: bool,
         /// The services for which the choice of a target follows what was learned of each: `off`, `reported` for those of
         /// which targets report how slow their machines are, or `on`.
         #[serde(default)]
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -24,7 +24,7 @@
     batch_work, burn::BurnCounters, clients, clock::Clock, control::ControlHandle,
     directory::Directory, drain::DrainSchedule, evacuations::Evacuations, in_force,
     job_cache::JobCache, load_reports, logging::DroppedLines, metrics::Metrics, peers::Peers,
-    settings::Settings, streams::Streams,
+    settings::Settings, streams::Streams, target_paths::TargetPaths,
 };
 
 /// The context of every task of a daemon.
@@ -67,6 +67,8 @@
     pub directory: Directory,
     /// The evacuated failure domains.
     pub evacuations: Evacuations,
+    /// The paths to the targets.
+    pub target_paths: Arc<TargetPaths>,
     /// The versions of targets and the origins of streams.
     pub streams: Streams,
     /// The batch work.
@@ -118,6 +120,7 @@
         Self {
             evacuations: Evacuations::new(clock, log.clone(), settings.evacuation),
             caller_limits: caller_limits.into(),
+            target_paths: Arc::new(TargetPaths::new(settings.calls_through_peers, incarnation)),
             memory,
             settings,
             incarnation,
--- a/crates/borageshed/tests/link_site/mod.rs
+++ b/crates/borageshed/tests/link_site/mod.rs
@@ -66,20 +66,23 @@
             operator::register(&store, &target_id(n), link.address());
             links.push(link);
         }
-        let site = Site::start_with(more, |platform| {
+        let mut settings = json!({ "calls_through_peers": true });
+        if let (Some(settings), Some(more)) = (settings.as_object_mut(), more.as_object()) {
+            settings.extend(more.clone());
+        }
+        let site = Site::start_with(settings, |platform| {
             for (n, target) in targets.iter().enumerate() {
                 operator::register(platform, &target_id(n), target.address());
             }
         })
         .await?;
-        // The daemons have two stores, but each store names the daemons of the other one.
-        let others = [("entry", 8_000), ("worker", 8_100)];
-        for (name, port) in others {
-            register_daemon(&store, name, site.peer_address(port)).await?;
-        }
-        register_daemon(&site.platform, "cut", site.peer_address(CUT_PORT)).await?;
         let (process, callers) =
             site.start_entry_at(("cut", CUT_PORT), store.address(), &json!({})).await?;
+        // The daemons have two stores, and each gets the registrations of the other one.
+        for name in ["entry", "worker"] {
+            copy_registration(&site.platform, &store, name).await?;
+        }
+        copy_registration(&store, &site.platform, "cut").await?;
         let site = Self { site, process, callers, links, targets, store };
         site.wait_for_peers().await?;
         Ok(site)
@@ -156,14 +159,12 @@
     Duration::from_millis(20)
 }
 
-async fn register_daemon(store: &Platform, name: &str, address: SocketAddr) -> io::Result<()> {
-    let runs_items = name == "worker";
-    let record = json!({
-        "address": address, "failure_domain": "a", "admits_callers": !runs_items,
-        "runs_items": runs_items, "capacity": 250,
-    });
-    let client = PlatformStore::new(PlatformStoreConfig::new(store.address()));
+async fn copy_registration(from: &Platform, to: &Platform, name: &str) -> io::Result<()> {
     let key = format!("{MEMBERS}{name}");
-    client.create(&key, record.to_string().as_bytes()).await.map_err(io::Error::other)?;
+    let [from, to] =
+        [from, to].map(|it| PlatformStore::new(PlatformStoreConfig::new(it.address())));
+    let entry = from.get(&key).await.map_err(io::Error::other)?;
+    let entry = entry.ok_or_else(|| io::Error::other(format!("{name} is not registered")))?;
+    to.create(&key, &entry.value).await.map_err(io::Error::other)?;
     Ok(())
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -24,5 +24,9 @@
         /// The processor share of its instance in thousandths of a core; 0 if unspecified.
         #[serde(default)]
         pub capacity: u32,
+        /// What another daemon has to know to send requests to targets through this one; empty if this one sends none for others. It is left out then,
+        /// because earlier versions do not know it.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        pub exchange_token: String,
     }
 }
--- a/crates/http-edge/src/client/head.rs
+++ b/crates/http-edge/src/client/head.rs
@@ -63,14 +63,10 @@
 
 /// Writes the request target as the caller sent it, if it is known; otherwise the path and query of the URL.
 fn push_target(head: &mut String, req: &Request) {
-    if let Some(target) = req.ext().get::<RawTarget>() {
-        head.push_str(target.as_str());
-        return;
-    }
-    head.push_str(req.url().path());
-    if let Some(query) = req.url().query() {
-        head.push('?');
-        head.push_str(query);
+    let known = req.ext().get::<RawTarget>();
+    match known {
+        Some(target) => head.push_str(target.as_str()),
+        None => head.push_str(RawTarget::of_url(req.url()).as_str()),
     }
 }
 
--- a/crates/http-edge/src/raw_target.rs
+++ b/crates/http-edge/src/raw_target.rs
@@ -34,6 +34,14 @@
         Self(Arc::from(url.path()))
     }
 
+    /// Returns the path and query of a URL, which are percent-encoded.
+    pub fn of_url(url: &Url) -> Self {
+        match url.query() {
+            Some(query) => Self(Arc::from(format!("{}?{query}", url.path()))),
+            None => Self::path_of(url),
+        }
+    }
+
     /// Returns path and query.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/peer/src/message/exchange.rs
+++ b/crates/peer/src/message/exchange.rs
@@ -54,6 +54,9 @@
     /// Whether the receiver has lost links to targets itself.
     #[prost(bool, tag = "2")]
     pub has_lost_links: bool,
+    /// Whether the receiver has heard from any target just before.
+    #[prost(bool, tag = "3")]
+    pub hears_targets: bool,
 }
 
 /// Why a daemon does not carry out an exchange.
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -182,6 +182,11 @@
                     held.sent = true;
                 }
             }
+            Event::AnsweredThroughPeer { id } => {
+                if let Some(held) = self.in_flight_mut(id) {
+                    held.expected = None;
+                }
+            }
             Event::FirstByte { id } => self.on_first_byte(now, id),
             Event::OutputBegun { id } => self.on_output_begun(id),
             Event::Completed { id, tokens } => self.on_completed(now, id, tokens),
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -28,6 +28,11 @@
             /// The request.
             id: u64,
         },
+        /// The answer of the current attempt comes through another instance, so that its times say less about the target.
+        AnsweredThroughPeer {
+            /// The request.
+            id: u64,
+        },
         /// The first output of the current attempt arrived, such as the first whole event of a stream.
         OutputBegun {
             /// The request.
--- a/crates/policy/src/paths/links.rs
+++ b/crates/policy/src/paths/links.rs
@@ -118,10 +118,11 @@
         self.links.get(&address).is_none_or(|it| now >= it.unreached_until)
     }
 
-    /// Returns whether a link on which an answer is overdue is to be checked, and counts it as checked.
-    pub fn begin_check(&mut self, now: Timestamp, address: SocketAddr) -> bool {
+    /// Returns whether a link on which an answer is overdue is to be checked, and counts it as checked then.
+    pub fn is_overdue(&mut self, now: Timestamp, address: SocketAddr) -> bool {
         let link = self.links.entry(address).or_default();
-        let is_due = link.checked_at.is_none_or(|it| now.since(it) >= MIN_CHECK_INTERVAL);
+        let is_due = link.loss.is_none()
+            && link.checked_at.is_none_or(|it| now.since(it) >= MIN_CHECK_INTERVAL);
         if is_due {
             link.checked_at = Some(now);
         }
