Bound the checks of links, and look at the target that sends a stream

Cause: one lost link cast doubt on all others and each of them was checked, so that with 910 targets one lost link would cost each daemon 910 connections, and as many each second in a cut. Now eight others are checked after each loss, lost links one by one each 50 ms until one works again, and the rest then eight at a time. Looking up a target by its address takes one step instead of a walk over all of them. The delay before other daemons are asked is a third of the operator's time for a connection, since regions may lie far apart. A resumed stream that breaks is diagnosed at the target that sent it last, not at its first one.

--- a/crates/borageshed/src/directory.rs
+++ b/crates/borageshed/src/directory.rs
@@ -57,6 +57,8 @@
 pub struct TargetTable {
     entries: BTreeMap<TargetName, TargetEntry>,
     targets: HashMap<TargetId, (TargetName, ServiceId)>,
+    /// One target for each address: a listed one if there is any.
+    by_address: HashMap<SocketAddr, TargetName>,
     services: HashMap<ServiceId, QualifiedName>,
 }
 
@@ -107,6 +109,9 @@
             let id = TargetId::in_service(service.1, &name.target);
             table.targets.insert(id, (name.clone(), service.1));
             last = Some(service);
+            if entry.listed || !table.by_address.contains_key(&entry.address) {
+                table.by_address.insert(entry.address, name.clone());
+            }
             table.entries.insert(name, entry);
         }
         table
@@ -158,10 +163,9 @@
         self.at_address(address).any(|it| it.cold_until.is_some_and(|until| now < until))
     }
 
-    /// Returns a target that listens on an address, with its name.
+    /// Returns a target that listens on an address, with its name; a listed one if there is any.
     pub fn named_at(&self, address: SocketAddr) -> Option<(&TargetName, &TargetEntry)> {
-        let at_address = || self.entries.iter().filter(move |(_, it)| it.address == address);
-        at_address().find(|(_, it)| it.listed).or_else(|| at_address().next())
+        self.entries.get_key_value(self.by_address.get(&address)?)
     }
 
     /// Returns the targets that listen on an address.
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -158,7 +158,7 @@
                                     || self.check_version(&source).await
                                         == VersionCheck::Confirmed);
                             let resumed = match can_go_on {
-                                true => self.resume_on_any_target(last_event, &e).await,
+                                true => self.resume_on_any_target(&source, last_event, &e).await,
                                 false => ResumeOutcome::Failed,
                             };
                             splitter.begin_attempt();
@@ -233,21 +233,23 @@
         }
     }
 
-    /// Continues the stream after an event, on a target that the control thread chooses.
+    /// Continues the stream after an event: on the target that sent it if only the link there is lost, or else on one that the control thread
+    /// chooses.
     async fn resume_on_any_target(
         &self,
+        source: &AnswerSource,
         last_event: Option<u64>,
         error: &io::Error,
     ) -> ResumeOutcome {
-        let cause = self.diagnose(error).await;
+        let cause = self.diagnose(&source.target, error).await;
         info!(
             self.cx.log, "stream broke";
-            "request" => &self.call.request_id, "target" => %self.target, "last_event" => last_event,
+            "request" => &self.call.request_id, "target" => %source.target, "last_event" => last_event,
             "cause" => ?cause, "error" => %error
         );
         if cause == FailureCause::LinkLost {
             // The target itself is sound, and keeps what it has read of the prompt, so the stream goes on there through another daemon.
-            match self.resume_on((&self.target, &self.version), last_event).await {
+            match self.resume_on((&source.target, &source.version), last_event).await {
                 ResumeAttempt::Sending(res, source) => {
                     return ResumeOutcome::Continued(res, source);
                 }
@@ -465,15 +467,18 @@
 
     async fn fail(self, tx: &BodySender, error: io::Error) {
         warn!(self.cx.log, "answer broke off"; "request" => &self.call.request_id, "error" => %error);
-        let cause = self.diagnose(&error).await;
+        let cause = self.diagnose(&self.target, &error).await;
         self.admission.failed_after_send(cause);
         // The caller may have gone.
         let _ = tx.error(error).await;
     }
 
-    async fn diagnose(&self, error: &io::Error) -> FailureCause {
-        let (service, target) = (&self.call.service, &self.target);
-        let to = TargetRef { service, target, address: self.address };
+    /// Returns why the answer of a target broke off.
+    async fn diagnose(&self, target: &Name, error: &io::Error) -> FailureCause {
+        let service = &self.call.service;
+        // A target that has gone since is looked for at its former address.
+        let address = self.cx.directory.address(service, target).unwrap_or(self.address);
+        let to = TargetRef { service, target, address };
         attempt::diagnose_failure(&self.cx, to, TargetFailure::from_io(error).as_ref()).await
     }
 
--- a/crates/borageshed/src/shared.rs
+++ b/crates/borageshed/src/shared.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use http_edge::{
@@ -120,7 +121,11 @@
         Self {
             evacuations: Evacuations::new(clock, log.clone(), settings.evacuation),
             caller_limits: caller_limits.into(),
-            target_paths: Arc::new(TargetPaths::new(settings.calls_through_peers, incarnation)),
+            target_paths: Arc::new(TargetPaths::new(
+                settings.calls_through_peers,
+                Duration::from_millis(settings.limits.connect_ms),
+                incarnation,
+            )),
             memory,
             settings,
             incarnation,
--- a/crates/borageshed/src/target_paths/mod.rs
+++ b/crates/borageshed/src/target_paths/mod.rs
@@ -67,6 +67,8 @@
 #[derive(Debug)]
 pub struct TargetPaths {
     is_enabled: bool,
+    /// How long a new connection to a target may take.
+    connect_timeout: Duration,
     /// What another daemon has to know to be served. It changes with each start.
     token: String,
     state: Mutex<State>,
@@ -99,7 +101,7 @@
 
 impl TargetPaths {
     /// Creates the paths of a daemon that has lost no links.
-    pub fn new(is_enabled: bool, seed: u64) -> Self {
+    pub fn new(is_enabled: bool, connect_timeout: Duration, seed: u64) -> Self {
         let state = State {
             links: LinkTable::default(),
             helpers: HelperTable::default(),
@@ -109,6 +111,7 @@
         };
         Self {
             is_enabled,
+            connect_timeout,
             token: format!("{:032x}", rand::rng().random::<u128>()),
             state: Mutex::new(state),
             link_lost: Event::new(),
--- a/crates/borageshed/src/target_paths/monitor.rs
+++ b/crates/borageshed/src/target_paths/monitor.rs
@@ -57,7 +57,9 @@
                 send::connect_or_check(&cx, TargetRef { service, target, address }).await;
             });
         }
-        report_services(&cx, &table, &mut lost_services);
+        if lost_count > 0 || !lost_services.is_empty() {
+            report_services(&cx, &table, &mut lost_services);
+        }
         if pruned_at.elapsed() >= PRUNE_INTERVAL {
             pruned_at = Instant::now();
             prune(&cx, &table);
@@ -81,7 +83,8 @@
     let heard: Vec<_> = traffic
         .iter()
         .filter(|it| now.saturating_duration_since(it.received_at) < RECENT_CONTACT)
-        .flat_map(|it| table.at_address(it.addr).map(|it| &it.failure_domain))
+        .filter_map(|it| table.named_at(it.addr))
+        .map(|(_, entry)| &entry.failure_domain)
         .collect();
     let mut state = cx.target_paths.lock();
     let State { links, .. } = &mut *state;
@@ -108,8 +111,9 @@
             break;
         }
         let heard_ago = super::heard_ago(cx, entry.address);
-        if links.is_doubtful(now, entry.address, heard_ago) {
-            links.begin_doubt_check(now, entry.address);
+        if links.is_doubtful(now, entry.address, heard_ago)
+            && links.begin_doubt_check(now, entry.address)
+        {
             checks.push((name, entry));
         }
     }
@@ -123,11 +127,13 @@
     lost_services: &mut BTreeMap<QualifiedName, Instant>,
 ) {
     let mut links: BTreeMap<&QualifiedName, (usize, usize)> = BTreeMap::new();
+    let state = cx.target_paths.lock();
     for (name, entry) in table.listed() {
         let (lost, all) = links.entry(&name.service).or_default();
-        *lost += usize::from(cx.target_paths.is_lost(entry.address));
+        *lost += usize::from(state.links.fault(entry.address).is_some());
         *all += 1;
     }
+    drop(state);
     for (service, (lost, all)) in links {
         let was_lost_at = lost_services.get(service).copied();
         match (lost == all, was_lost_at) {
--- a/crates/borageshed/src/target_paths/opening.rs
+++ b/crates/borageshed/src/target_paths/opening.rs
@@ -14,8 +14,6 @@
 use super::{HelperAddress, State, TargetPaths, TargetRef};
 use crate::{directory::ServiceId, shared::Shared};
 
-/// How long a daemon may take to say whether it carries out an exchange. It may have to open a connection to the target first.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The most daemons that are asked for one request. Those that have lost links themselves decline at once.
 const MAX_ASKED: usize = 8;
 /// How many daemons that hear from targets must fail to reach this one until it counts as a failure of the target.
@@ -132,6 +130,8 @@
         request_id: request_id.to_owned(),
         ..ExchangeOpen::default()
     };
+    // The daemon may have to open a connection to the target first, for which it takes half of this time.
+    let answer_timeout = cx.target_paths.connect_timeout;
     let asked = async {
         let (tx, mut rx) = exchange::open(name, helper.address, open).await?;
         loop {
@@ -140,7 +140,7 @@
             }
         }
     };
-    let answered = timeout(ANSWER_TIMEOUT, asked).await;
+    let answered = timeout(answer_timeout, asked).await;
     let (tx, rx, message) =
         answered.unwrap_or(Err(ExchangeError::Silent)).map_err(Refusal::Unanswered)?;
     match message {
--- a/crates/borageshed/src/target_paths/send.rs
+++ b/crates/borageshed/src/target_paths/send.rs
@@ -6,7 +6,7 @@
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use async_std::{
@@ -27,9 +27,9 @@
 };
 use crate::{answer::set_body, shared::Shared};
 
-/// How long a new connection may take before other daemons are asked whether they reach the target. Connections within a region open
-/// within a few milliseconds; a lost packet costs a detour.
-const HEDGE_DELAY: Duration = Duration::from_millis(100);
+/// The part of the time for a new connection after which other daemons are asked whether they reach the target. Most connections open within a
+/// few milliseconds; a lost packet costs a detour.
+const HEDGE_PART: u32 = 3;
 
 /// A request that is to be sent to a target.
 pub struct Outgoing<'a> {
@@ -250,9 +250,10 @@
     if !cx.target_paths.is_enabled() {
         return Ok(on_connected(connect.await?));
     }
+    let hedge_delay = cx.target_paths.connect_timeout / HEDGE_PART;
     let mut excluded = Vec::new();
     let ask = Box::pin(open_exchange(cx, to, purpose, &mut excluded));
-    let failed = match timeout(HEDGE_DELAY, &mut connect).await {
+    let failed = match timeout(hedge_delay, &mut connect).await {
         Ok(Ok(connection)) => return Ok(on_connected(connection)),
         Ok(Err(e)) => e,
         Err(_) => match select(connect, ask).await {
--- a/crates/borageshed/src/target_paths/serving.rs
+++ b/crates/borageshed/src/target_paths/serving.rs
@@ -44,8 +44,8 @@
     tasks::contain,
 };
 
-/// How long a new connection to a target may take. The daemon that asks waits for the answer, and others may be quicker.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// The part of the usual time that a new connection to a target may take. The daemon that asks waits for the answer, and others may be quicker.
+const CONNECT_PART: u32 = 2;
 /// How long hearing from a target shows that it is reached, so that no new connection is needed to prove it.
 const CONTACT_VALIDITY: Duration = Duration::from_millis(250);
 /// The pieces of a request that wait for the target.
@@ -150,7 +150,7 @@
     {
         return Ok(Prepared { connection, address, contact_age });
     }
-    match timeout(CONNECT_TIMEOUT, cx.client.connect(address)).await {
+    match timeout(paths.connect_timeout / CONNECT_PART, cx.client.connect(address)).await {
         Ok(Ok(connection)) => {
             paths.on_connected(cx, address);
             Ok(Prepared { connection, address, contact_age: Duration::ZERO })
--- a/crates/policy/src/paths/links.rs
+++ b/crates/policy/src/paths/links.rs
@@ -37,8 +37,16 @@
 pub struct LinkTable {
     links: HashMap<SocketAddr, Link>,
     lost_count: usize,
-    /// When a link was last lost.
-    last_loss: Option<Timestamp>,
+    doubt: Option<Doubt>,
+    last_regained: Option<Timestamp>,
+}
+
+/// The doubt about all other links after one was lost.
+#[derive(Debug)]
+struct Doubt {
+    since: Timestamp,
+    /// How many links are still to be checked because of it.
+    checks_left: usize,
 }
 
 #[derive(Debug, Default)]
@@ -79,6 +87,14 @@
 const MAX_JITTER: f64 = 0.2;
 /// How long the answer that no daemon reaches a target holds for other requests.
 const UNREACHED_VALIDITY: Duration = Duration::from_millis(500);
+/// How long a loss casts doubt on other links. If they are lost as well, their losses prolong the doubt.
+const DOUBT_PERIOD: Duration = Duration::from_secs(1);
+/// How many other links are checked after each loss, so that a few losses among many targets cost few checks.
+const CHECKS_PER_LOSS: usize = 8;
+/// How many lost links are checked at once: usually, and in the second after one was regained.
+const CHECKS_AT_ONCE: usize = 1;
+const CHECKS_AFTER_RETURN: usize = 8;
+const RETURN_PERIOD: Duration = Duration::from_secs(1);
 /// The shortest time between two checks of a link that is not lost.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -98,14 +114,17 @@
         }
     }
 
-    /// Returns whether another link was lost after this one was last heard of or checked.
+    /// Returns whether another link was lost just now, and nothing shows since then that this one works.
     pub fn is_doubtful(
         &self,
         now: Timestamp,
         address: SocketAddr,
         heard_ago: Option<Duration>,
     ) -> bool {
-        let Some(lost_at) = self.last_loss.filter(|_| self.lost_count > 0) else { return false };
+        let is_current = |it: &&Doubt| now.since(it.since) < DOUBT_PERIOD && self.lost_count > 0;
+        let Some(lost_at) = self.doubt.as_ref().filter(is_current).map(|it| it.since) else {
+            return false;
+        };
         let link = self.links.get(&address);
         let is_lost = link.is_some_and(|it| it.loss.is_some());
         let is_checked = link.and_then(|it| it.checked_at).is_some_and(|it| it >= lost_at);
@@ -129,24 +148,32 @@
         is_due
     }
 
-    /// Counts a link as checked that is doubtful because another one was lost.
-    pub fn begin_doubt_check(&mut self, now: Timestamp, address: SocketAddr) {
+    /// Returns whether a link that is doubtful is to be checked, and counts it as checked then.
+    pub fn begin_doubt_check(&mut self, now: Timestamp, address: SocketAddr) -> bool {
+        let Some(doubt) = self.doubt.as_mut().filter(|it| it.checks_left > 0) else { return false };
+        doubt.checks_left -= 1;
         self.links.entry(address).or_default().checked_at = Some(now);
+        true
     }
 
-    /// Returns the lost links that are due for a check, and schedules the next one.
+    /// Returns lost links that are due for a check, and schedules the next one of each. If many are due, the others follow with the next calls.
     pub fn take_due_checks(&mut self, now: Timestamp, rng: &mut Rng) -> Vec<SocketAddr> {
-        let mut due = Vec::new();
-        for (address, link) in &mut self.links {
-            let Some(loss) = &mut link.loss else { continue };
-            if now < loss.next_check {
-                continue;
-            }
+        let has_returned = self.last_regained.is_some_and(|it| now.since(it) < RETURN_PERIOD);
+        let limit = if has_returned { CHECKS_AFTER_RETURN } else { CHECKS_AT_ONCE };
+        let mut due: Vec<_> = self
+            .links
+            .iter_mut()
+            .filter_map(|(address, link)| Some((*address, link.loss.as_mut()?)))
+            .filter(|(_, loss)| now >= loss.next_check)
+            .collect();
+        // Those that wait longest go first, so that none is left out.
+        due.sort_unstable_by_key(|(address, loss)| (loss.next_check, *address));
+        due.truncate(limit);
+        for (_, loss) in &mut due {
             loss.interval = loss.interval.mul_f64(INTERVAL_GROWTH).min(MAX_CHECK_INTERVAL);
             loss.next_check = now + with_jitter(loss.interval, rng);
-            due.push(*address);
         }
-        due
+        due.into_iter().map(|(address, _)| address).collect()
     }
 
     /// Records that this instance cannot open a connection to an address that another daemon reaches; returns whether the link was not lost
@@ -173,7 +200,7 @@
         let next_check = now + with_jitter(hold, rng);
         link.loss = Some(Loss { since: now, fault, hold, next_check, interval: MIN_HOLD });
         self.lost_count += 1;
-        self.last_loss = Some(now);
+        self.doubt = Some(Doubt { since: now, checks_left: CHECKS_PER_LOSS });
         true
     }
 
@@ -190,6 +217,10 @@
         let loss = link.loss.take()?;
         link.regained = Some((now, loss.hold));
         self.lost_count -= 1;
+        self.last_regained = Some(now);
+        // The others may have been lost and have returned with this one, unless they are known to come and go.
+        let others = self.links.values_mut().filter_map(|it| it.loss.as_mut());
+        others.filter(|it| it.hold == MIN_HOLD).for_each(|it| it.next_check = now);
         Some(now.since(loss.since))
     }
 
--- a/crates/policy/tests/paths.rs
+++ b/crates/policy/tests/paths.rs
@@ -43,14 +43,54 @@
     assert_eq!(path(&links, 1_100, OTHER, None), Path::Peer);
     assert_eq!(path(&links, 1_100, OTHER, Some(100 + 199)), Path::Direct);
     assert_eq!(path(&links, 1_100, OTHER, Some(100 + 200)), Path::Peer);
-    assert!(links.on_connected(at(1_150), address(OTHER)).is_none());
-    links.begin_doubt_check(at(1_150), address(OTHER));
+    assert!(links.begin_doubt_check(at(1_150), address(OTHER)));
     assert_eq!(path(&links, 1_200, OTHER, None), Path::Direct, "it has been checked");
     assert_eq!(links.on_connected(at(1_500), address(FIRST)), Some(ms(500)));
     assert_eq!(path(&links, 1_510, FIRST, None), Path::Direct);
     assert_eq!(links.lost_count(), 0);
 }
 
+// Guards against checks of thousands of sound links because a few are lost.
+#[test]
+fn a_loss_casts_doubt_on_a_few_links_for_a_moment() {
+    let mut rng = rng();
+    let mut links = LinkTable::default();
+    links.on_lost(at(1_000), address(FIRST), LinkFault::Hangs, &mut rng);
+    let checked = (2..=200).filter(|it| links.begin_doubt_check(at(1_050), address(*it)));
+    assert_eq!(checked.count(), 8);
+    assert_eq!(links.path(at(1_999), address(201), None), Path::Peer);
+    assert_eq!(links.path(at(2_000), address(201), None), Path::Direct, "no other link was lost");
+    links.on_lost(at(2_100), address(OTHER), LinkFault::Hangs, &mut rng);
+    assert!(links.begin_doubt_check(at(2_150), address(201)), "another one was lost");
+}
+
+// Guards against as many checks each second as there are lost links, and against a slow return of many links.
+#[test]
+fn lost_links_are_checked_one_by_one_until_one_works_again() {
+    let mut rng = rng();
+    let mut links = LinkTable::default();
+    for host in 0..100 {
+        links.on_lost(at(1_000), address(host), LinkFault::Hangs, &mut rng);
+    }
+    let mut checked = std::collections::BTreeSet::new();
+    for round in 0..100 {
+        let due = links.take_due_checks(at(1_500 + round * 50), &mut rng);
+        assert_eq!(due.len(), 1);
+        checked.extend(due);
+    }
+    assert_eq!(checked.len(), 100, "each had its turn");
+    let due = links.take_due_checks(at(6_500), &mut rng);
+    links.on_connected(at(6_510), due[0]);
+    let mut rounds = 0;
+    while links.lost_count() > 0 {
+        rounds += 1;
+        for address in links.take_due_checks(at(6_510 + rounds * 50), &mut rng) {
+            links.on_connected(at(6_510 + rounds * 50), address);
+        }
+    }
+    assert_eq!(rounds, 13, "eight at a time");
+}
+
 // Guards against a target that fails for all instances and is asked for at others again and again.
 #[test]
 fn what_no_daemon_reaches_is_not_asked_for_again_at_once() {
