--- a/crates/borageshed/tests/link_site/mod.rs
+++ b/crates/borageshed/tests/link_site/mod.rs
@@ -1,8 +1,14 @@
 //! Starts an entry daemon whose links to the targets can be cut while another entry daemon and a worker daemon go on reaching them.
 #![allow(dead_code, reason = "each test program uses a part")]
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
+use async_std::future::timeout;
 use kv_store::Store as _;
 use platform::{PlatformStore, PlatformStoreConfig};
 use serde_json::{Value, json};
@@ -139,6 +145,45 @@
         Ok(())
     }
 
+    /// Waits until the daemon behind the links knows that each is lost.
+    pub async fn wait_until_lost(&self) -> io::Result<()> {
+        let links = self.links.len() as u64;
+        crate::operator_site::wait_until("the links are known to be lost", async || {
+            let id = format!("probe-{}", NEXT_PROBE.fetch_add(1, Ordering::Relaxed));
+            // The result does not matter: requests make the daemon look at its links.
+            let call = crate::operator_site::call(operator::LOOKUPS, &id).header("host", HOST);
+            let _ = timeout(PROBE_TIMEOUT, Box::pin(call.send(self.callers))).await;
+            self.metric("lost_links").await == links
+        })
+        .await
+    }
+
+    /// Returns a metric of the daemon behind the links.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let metrics = self.metrics().await;
+        let prefix = format!("borageshed_{name} ");
+        let value = metrics.lines().find_map(|it| it.strip_prefix(&prefix)?.trim().parse().ok());
+        value.unwrap_or_else(|| panic!("no metric {name}"))
+    }
+
+    /// Returns the daemon through which the daemon behind the links sent a request last, as its log says.
+    pub fn helper_of(&self, id: &str) -> Option<String> {
+        let log = self.log();
+        let request = format!("request={id}");
+        let is_line = |it: &&str| {
+            it.contains("request sent through another daemon")
+                && it.split_whitespace().any(|field| field == request)
+        };
+        let line = log.lines().rfind(is_line)?;
+        line.split_whitespace().find_map(|it| it.strip_prefix("peer=").map(str::to_owned))
+    }
+
+    /// Starts a daemon that runs items behind the links.
+    pub fn start_cut_worker(&self) -> io::Result<Process> {
+        let more = json!({ "calls_through_peers": true });
+        self.site.start_worker_at(("cut-worker", CUT_PORT + 300), self.store.address(), &more)
+    }
+
     /// Returns how many targets received the request.
     pub fn runs(&self, id: &str) -> usize {
         let received = self.targets.iter().flat_map(Target::requests);
@@ -151,12 +196,18 @@
     }
 }
 
-pub fn target_id(n: usize) -> String {
-    format!("t-{n}")
+/// How long a request that makes the daemon look at its links is awaited.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+static NEXT_PROBE: AtomicU64 = AtomicU64::new(0);
+
+/// Returns the log of the daemon behind the links, for the message of a failed test.
+pub fn log_of(site: &LinkSite) -> String {
+    site.log()
 }
 
-pub fn pause() -> Duration {
-    Duration::from_millis(20)
+pub fn target_id(n: usize) -> String {
+    format!("t-{n}")
 }
 
 async fn copy_registration(from: &Platform, to: &Platform, name: &str) -> io::Result<()> {
--- a/crates/borageshed/tests/operator_site/mod.rs
+++ b/crates/borageshed/tests/operator_site/mod.rs
@@ -130,6 +130,16 @@
         start(&self.folder, name, &settings(self.platform.address(), self.ip, name, port))
     }
 
+    /// Starts another worker daemon, which uses this store and these further settings.
+    pub fn start_worker_at(
+        &self,
+        (name, port): (&str, u16),
+        store: SocketAddr,
+        more: &Value,
+    ) -> io::Result<Process> {
+        start(&self.folder, name, &with(settings(store, self.ip, name, port), more))
+    }
+
     /// Crashes the entry daemon, starts it again and waits until it is ready.
     pub async fn restart_entry(&mut self) -> io::Result<()> {
         self.entry.crash();
