Soak: cut the links between a daemon and its targets

The stand-in of the store can listen on more addresses, whose callers see other addresses of targets, so that each daemon of the soak has relays of its own to them. Half a cut a second, of all links of a daemon or of half of them, hangs, resets or refuses. The draws come from a generator of their own, so that the other faults of a seed stay the same.

--- a/crates/borageshed/tests/soak/faults.rs
+++ b/crates/borageshed/tests/soak/faults.rs
@@ -19,6 +19,8 @@
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 /// The mean number of faults that are started per second.
 const FAULTS_PER_S: f64 = 2.5;
+/// The mean number of cuts of all links of a daemon to the targets per second.
+const LINK_CUTS_PER_S: f64 = 0.5;
 /// Faults last from less time than a peer link takes to close to longer than a lease.
 const MAX_FAULT_MS: u64 = 3_000;
 /// Runs longer than this alternate between calm, in which daemons grow old enough to trust what they have seen of versions, and
@@ -33,6 +35,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Recovery {
     RestoreStore(usize),
+    RestoreLinks(usize),
     RestoreTarget(usize),
     ResetBehaviour(usize),
     Resume(usize),
@@ -43,6 +46,8 @@
 
 pub struct FaultInjector {
     rng: Rng,
+    /// Separate, so that the other faults of a seed stay the same.
+    link_rng: Rng,
     version: u64,
     releases: Releases,
     /// Whether daemons are stopped and crashed; in the other phases they are only paused and cut off.
@@ -52,7 +57,13 @@
 impl FaultInjector {
     pub fn new(seed: u64) -> Self {
         let releases = Releases::new(seed);
-        Self { rng: rng::seeded(seed), version: 2, releases, ends_daemons: true }
+        Self {
+            rng: rng::seeded(seed),
+            link_rng: rng::seeded(!seed),
+            version: 2,
+            releases,
+            ends_daemons: true,
+        }
     }
 
     /// Injects faults for the given time and then ends all of them; returns the unexpected exits of daemons.
@@ -77,7 +88,7 @@
                 recoveries.first_key_value().filter(|((due, _), _)| *due <= now)
             {
                 if let Some(recovery) = recoveries.remove(&at)
-                    && !self.end_fault(fixture, recovery)?
+                    && !self.end_fault(fixture, recovery).await?
                 {
                     recoveries.insert((now + STEP_INTERVAL.as_millis(), at.1), recovery);
                 }
@@ -100,6 +111,12 @@
                     recoveries.insert((now + duration, step), recovery);
                 }
             }
+            let cuts_in_step = LINK_CUTS_PER_S * STEP_INTERVAL.as_secs_f64();
+            if phase.is_faulty && self.link_rng.random_bool(cuts_in_step) {
+                let duration = u128::from(self.link_rng.random_range(50..MAX_FAULT_MS));
+                let recovery = self.cut_links(fixture).await?;
+                recoveries.insert((now + duration, steps + step), recovery);
+            }
             task::sleep(STEP_INTERVAL).await;
         }
         self.releases.end(fixture);
@@ -117,7 +134,7 @@
         while !recoveries.is_empty() {
             let mut unended = Vec::new();
             for recovery in recoveries {
-                if !self.end_fault(fixture, recovery)? {
+                if !self.end_fault(fixture, recovery).await? {
                     unended.push(recovery);
                 }
             }
@@ -188,6 +205,30 @@
         }
     }
 
+    /// Cuts the links of a daemon to all targets, or to some of them.
+    async fn cut_links(&mut self, fixture: &Fixture) -> io::Result<Recovery> {
+        let rng = &mut self.link_rng;
+        let daemon = rng.random_range(0..fixture.daemons.len());
+        let (kind, is_partial) = (rng.random_range(0..3), rng.random_bool(0.3));
+        for relay in &fixture.daemons[daemon].target_relays {
+            if is_partial && rng.random_bool(0.5) {
+                continue;
+            }
+            match kind {
+                0 => {
+                    relay.hang_new().await?;
+                    relay.silence();
+                }
+                1 => {
+                    relay.stop_listening();
+                    relay.cut();
+                }
+                _ => relay.stop_listening(),
+            }
+        }
+        Ok(Recovery::RestoreLinks(daemon))
+    }
+
     fn disturb_link(&mut self, relay: &Relay) {
         match self.rng.random_range(0..5) {
             0 => relay.cut(),
@@ -205,8 +246,13 @@
     }
 
     /// Ends a fault; returns `false` if this must be retried later.
-    fn end_fault(&self, fixture: &mut Fixture, recovery: Recovery) -> io::Result<bool> {
+    async fn end_fault(&self, fixture: &mut Fixture, recovery: Recovery) -> io::Result<bool> {
         match recovery {
+            Recovery::RestoreLinks(daemon) => {
+                for relay in &fixture.daemons[daemon].target_relays {
+                    relay.listen().await?;
+                }
+            }
             Recovery::RestoreStore(daemon) => restore(&fixture.daemons[daemon].store_relay),
             Recovery::RestoreTarget(target) => restore(&fixture.targets[target].relay),
             Recovery::ResetBehaviour(target) => {
--- a/crates/borageshed/tests/soak/fixture.rs
+++ b/crates/borageshed/tests/soak/fixture.rs
@@ -43,6 +43,8 @@
     pub process: Process,
     /// The relay between the daemon and the store.
     pub store_relay: Relay,
+    /// The relays between the daemon and the targets.
+    pub target_relays: Vec<Relay>,
     args: [String; 2],
     log: PathBuf,
 }
@@ -123,10 +125,17 @@
         Ok(fixture)
     }
 
-    async fn start_daemon(&self, n: u16) -> io::Result<Daemon> {
+    async fn start_daemon(&mut self, n: u16) -> io::Result<Daemon> {
         let is_entry = n < ENTRIES;
         let name = format!("{}-{n}", if is_entry { "entry" } else { "worker" });
-        let store_relay = Relay::start(self.platform.address()).await?;
+        let (mut target_relays, mut view) = (Vec::new(), Vec::new());
+        for target in &self.targets {
+            let relay = Relay::start(target.relay.address()).await?;
+            view.push((target.relay.address(), relay.address()));
+            target_relays.push(relay);
+        }
+        let store = self.platform.listen_with_view(view).await?;
+        let store_relay = Relay::start(store).await?;
         let mut settings = json!({
             "instance": name, "failure_domain": "a", "source": "operator", "cut_withdrawn": false,
             "admin_listen": SocketAddr::from((self.ip, ADMIN_PORT + n)),
@@ -136,7 +145,7 @@
                 "share": 0.05, "burst": 10, "head_start_ms": 1_000, "loan_bytes_per_s": 60_000,
             },
             "limits": { "drain_lead_ms": 500, "drain_ms": 5_300 },
-            "log_level": "debug",
+            "log_level": "debug", "calls_through_peers": true,
         });
         if is_entry {
             settings["listen"] = json!(SocketAddr::from((self.ip, CALLERS_PORT + n)));
@@ -147,7 +156,7 @@
         let args = ["--settings".to_owned(), file.display().to_string()];
         let log = self.folder.path().join(format!("{name}.log"));
         let process = Process::start(&name, &binary("borageshed")?, &args, &log)?;
-        Ok(Daemon { process, store_relay, args, log })
+        Ok(Daemon { process, store_relay, target_relays, args, log })
     }
 
     pub fn entries(&self) -> Vec<SocketAddr> {
