Count a stream whose content is faulty as one, also while a link is lost

Callers saw: a resumable stream whose target resets it and does not go on where it was asked was sent again every 50 ms until its deadline, 40 times and more in 5 s. Cause: what has no connection failure as its reason, such as an event that does not follow, was taken for a failure of a direct connection, and with the link lost for a lost link, which costs no attempt. Evidence: log of peer-73: 'the resumed stream does not go on after event 1', cause=LinkLost, 80 times. Why the fix works: only a direct connection that broke or fell silent is a lost link; a faulty content counts as an attempt whose answer is lost. Besides, a stream stays at a target no more than three times without an event in between.

--- a/crates/borageshed/src/online/attempt.rs
+++ b/crates/borageshed/src/online/attempt.rs
@@ -228,12 +228,18 @@
     failure: Option<&TargetFailure>,
 ) -> FailureCause {
     let cause = failure_cause(failure);
-    let is_direct = matches!(failure, None | Some(TargetFailure::Direct(_)));
-    if is_direct && cx.target_paths.is_lost(to.address) {
-        return FailureCause::LinkLost;
+    let is_lost = cx.target_paths.is_lost(to.address);
+    match failure {
+        Some(TargetFailure::Direct(failure)) if is_lost && is_silence_or_break(failure) => {
+            return FailureCause::LinkLost;
+        }
+        // What arrived is not valid, on whatever path, and a direct connection would show nothing.
+        None if is_lost => return FailureCause::AnswerLost,
+        None | Some(TargetFailure::Direct(_)) => {}
+        Some(_) => return cause,
     }
     let is_registered = cx.settings.source == FleetSource::Operator;
-    if !is_direct || !is_registered || cause != FailureCause::ConnectionLost {
+    if !is_registered || cause != FailureCause::ConnectionLost {
         return cause;
     }
     match protocol::check_liveness(cx, to.address).await {
@@ -256,6 +262,14 @@
     }
 }
 
+/// Returns whether a direct connection broke or fell silent, as on a lost link.
+fn is_silence_or_break(failure: &Failure) -> bool {
+    let is_timeout = matches!(failure, Failure::FirstByteTimeout | Failure::GapTimeout);
+    let is_closed = *failure == Failure::ClosedByOwner;
+    let is_broken = direct_failure_cause(Some(failure)) == FailureCause::ConnectionLost;
+    is_timeout || is_closed || is_broken
+}
+
 /// Returns the cause of a failure on a direct connection.
 pub(crate) fn direct_failure_cause(failure: Option<&Failure>) -> FailureCause {
     match failure {
--- a/crates/borageshed/src/online/forwarder.rs
+++ b/crates/borageshed/src/online/forwarder.rs
@@ -35,7 +35,7 @@
 /// costs little memory.
 const MAX_QUEUED_PIECES: usize = 8;
 const MAX_PIECE_BYTES: usize = 16 * 1024;
-/// How often a stream is resumed on the same target; one that breaks again and again shows that the target is faulty.
+/// How often a stream is resumed on the same target without an event in between; one that breaks again and again shows that the target is faulty.
 const MAX_RESUMES: u32 = 3;
 
 /// The last event of a stream that cannot be completed, so that the caller does not take the stream for complete.
@@ -115,6 +115,8 @@
         let (mut meter, mut is_resumed) = (EventGapMeter::default(), false);
         let is_direct = res.ext().get::<AnsweredThroughPeer>().is_none();
         let mut resumes = 0;
+        // Without an event between two breaks, the links are no longer the likely cause.
+        let mut resumes_without_event = 0;
         // Events of the current attempt follow those of the attempts before it.
         let (mut events_before, mut has_output) = (0, false);
         let mut source = AnswerSource::of(&res, &self.target, &self.version);
@@ -122,6 +124,9 @@
         loop {
             match self.read_events(&mut res, &mut buf, &mut splitter).await {
                 EventRead::Whole(whole) => {
+                    if !whole.is_empty() {
+                        resumes_without_event = 0;
+                    }
                     if !has_output && splitter.event_count() > events_before {
                         has_output = true;
                         self.admission.output_begun();
@@ -150,6 +155,8 @@
                     splitter.discard_partial();
                     is_resumed = true;
                     resumes += 1;
+                    resumes_without_event += 1;
+                    let may_stay = resumes_without_event <= MAX_RESUMES;
                     let resumed = match self.call.resumption {
                         Resumption::AnyTarget { after } => {
                             let last_event = splitter.last_id().or(after);
@@ -158,7 +165,10 @@
                                     || self.check_version(&source).await
                                         == VersionCheck::Confirmed);
                             let resumed = match can_go_on {
-                                true => self.resume_on_any_target(&source, last_event, &e).await,
+                                true => {
+                                    self.resume_on_any_target(&source, last_event, &e, may_stay)
+                                        .await
+                                }
                                 false => ResumeOutcome::Failed,
                             };
                             splitter.begin_attempt();
@@ -240,6 +250,7 @@
         source: &AnswerSource,
         last_event: Option<u64>,
         error: &io::Error,
+        may_stay: bool,
     ) -> ResumeOutcome {
         let cause = self.diagnose(&source.target, error).await;
         info!(
@@ -247,7 +258,7 @@
             "request" => &self.call.request_id, "target" => %source.target, "last_event" => last_event,
             "cause" => ?cause, "error" => %error
         );
-        if cause == FailureCause::LinkLost {
+        if cause == FailureCause::LinkLost && may_stay {
             // The target itself is sound, and keeps what it has read of the prompt, so the stream goes on there through another daemon.
             match self.resume_on((&source.target, &source.version), last_event).await {
                 ResumeAttempt::Sending(res, source) => {
