--- a/crates/borageshed/src/target_paths/opening.rs
+++ b/crates/borageshed/src/target_paths/opening.rs
@@ -128,6 +128,7 @@
         service: ServiceId::of(to.service).0,
         target: to.target.to_string(),
         request_id: request_id.to_owned(),
+        needs_proof: !cx.target_paths.is_lost(to.address),
         ..ExchangeOpen::default()
     };
     // The daemon may have to open a connection to the target first, for which it takes half of this time.
--- a/crates/borageshed/src/target_paths/serving.rs
+++ b/crates/borageshed/src/target_paths/serving.rs
@@ -82,7 +82,7 @@
         Err(reason) => return decline(cx, &open, reason, tx, rx).await,
     };
     let load = u32::try_from(cx.target_paths.served_count()).unwrap_or(u32::MAX);
-    let contact_age_ms = prepared.contact_age.as_millis() as u32;
+    let contact_age_ms = u32::try_from(prepared.contact_age.as_millis()).unwrap_or(u32::MAX);
     let ready = ExchangeReady { load, contact_age_ms };
     if tx.send(ExchangeMessage::Ready(ready)).await.is_err() {
         return cx.client.put_back(prepared.connection);
@@ -142,9 +142,11 @@
     if paths.is_lost(address) {
         return Err(DeclineReason::Unreachable);
     }
-    let contact_age = heard_ago(cx, address).filter(|it| *it < CONTACT_VALIDITY);
+    let contact_age = heard_ago(cx, address).unwrap_or(Duration::MAX);
+    // Each new connection costs the target time, so an idle one is used if this daemon's links work.
+    let is_proven = contact_age < CONTACT_VALIDITY || (!open.needs_proof && hears_targets(cx));
     // Without a request, the question is whether new connections open.
-    if let Some(contact_age) = contact_age
+    if is_proven
         && !open.request_id.is_empty()
         && let Some(connection) = cx.client.take_idle(address, &open.request_id)
     {
@@ -166,11 +168,10 @@
     mut tx: ExchangeSender,
     mut rx: ExchangeReceiver,
 ) {
-    let now_heard = |it: &http_edge::client::Traffic| it.received_at.elapsed() < RECENT_CONTACT;
     let declined = ExchangeDeclined {
         reason: reason.into(),
         has_lost_links: cx.target_paths.lost_count() > 0,
-        hears_targets: cx.client.all_traffic().iter().any(now_heard),
+        hears_targets: hears_targets(cx),
     };
     debug!(
         cx.log, "exchange declined";
@@ -183,6 +184,11 @@
     }
 }
 
+/// Returns whether something has just arrived from any target.
+fn hears_targets(cx: &Shared) -> bool {
+    cx.client.all_traffic().iter().any(|it| it.received_at.elapsed() < RECENT_CONTACT)
+}
+
 /// Receives the head of the request; `None` if the other daemon sends none.
 async fn receive_head(rx: &mut ExchangeReceiver) -> Option<RequestHead> {
     loop {
--- a/crates/peer/src/message/exchange.rs
+++ b/crates/peer/src/message/exchange.rs
@@ -32,6 +32,9 @@
     /// The id of the request; empty if only the path to the target is of interest.
     #[prost(string, tag = "6")]
     pub request_id: String,
+    /// Whether the sender needs to know that the target is reached just now, because it has not yet found its own link lost.
+    #[prost(bool, tag = "7")]
+    pub needs_proof: bool,
 }
 
 /// The receiver has an open connection to the target.
