Keep the connection that a check of a link opens

A check closed its connection, so that the next request opened another one, which costs the target time. It goes to the idle ones now, and a check that fails leaves a log line. lost_links.rs and through_peers.rs pass.

--- a/crates/borageshed/src/target_paths/monitor.rs
+++ b/crates/borageshed/src/target_paths/monitor.rs
@@ -54,7 +54,7 @@
             let (cx, name, address) = (Arc::clone(&cx), name.clone(), entry.address);
             task::spawn(async move {
                 let TargetName { service, target } = &name;
-                send::connect_or_check(&cx, TargetRef { service, target, address }).await;
+                send::check_link(&cx, TargetRef { service, target, address }).await;
             });
         }
         if lost_count > 0 || !lost_services.is_empty() {
--- a/crates/borageshed/src/target_paths/send.rs
+++ b/crates/borageshed/src/target_paths/send.rs
@@ -127,13 +127,10 @@
     if !paths.is_enabled() {
         return false;
     }
-    if paths.is_lost(to.address) {
-        return true;
-    }
-    match connect_or_ask(cx, to, Purpose::Check).await {
-        Ok(Connected::Direct(_)) | Err(_) => false,
-        Ok(Connected::ThroughPeer(_)) => true,
+    if !paths.is_lost(to.address) {
+        check_link(cx, to).await;
     }
+    paths.is_lost(to.address)
 }
 
 enum Connected {
@@ -231,9 +228,15 @@
 }
 
 /// Opens a direct connection to a target, or asks other daemons if that does not succeed at once, and records the result.
-pub(super) async fn connect_or_check(cx: &Shared, to: TargetRef<'_>) {
-    // The result has been recorded.
-    let _ = connect_or_ask(cx, to, Purpose::Check).await;
+pub(super) async fn check_link(cx: &Shared, to: TargetRef<'_>) {
+    match connect_or_ask(cx, to, Purpose::Check).await {
+        // The next request needs no new connection then.
+        Ok(Connected::Direct(connection)) => cx.client.put_back(connection),
+        Ok(Connected::ThroughPeer(_)) => {}
+        Err(e) => {
+            debug!(cx.log, "link to a target checked"; "target" => %to.target, "error" => %e);
+        }
+    }
 }
 
 /// Opens a direct connection, or an exchange with a daemon that reaches the target if that does not succeed at once.
