Conclude nothing about a target from daemons that do not answer

Now only a daemon that hears from other targets and cannot reach this one is evidence. lost_links.rs and through_peers.rs pass.

--- a/crates/borageshed/src/target_paths/opening.rs
+++ b/crates/borageshed/src/target_paths/opening.rs
@@ -100,7 +100,10 @@
             break;
         }
     }
-    cx.target_paths.lock().links.on_unreached(cx.clock.now(), to.address);
+    // Daemons that could not be asked, or do not answer, say nothing about the target.
+    if unreachable > 0 {
+        cx.target_paths.lock().links.on_unreached(cx.clock.now(), to.address);
+    }
     None
 }
 
