--- a/crates/borageshed/tests/early_answers.rs
+++ b/crates/borageshed/tests/early_answers.rs
@@ -12,7 +12,7 @@
 use operator_site::{KEY, LIMIT, Site};
 use test_support::{
     operator::{DRAFTS, HOST, LOOKUPS, STREAMS},
-    target::{Behaviour, EarlyAnswer, Target},
+    target::{Behaviour, EarlyAnswer, STAMP_HEADER, Target},
 };
 
 mod link_site;
@@ -183,7 +183,7 @@
                 let answer = CALLERS[0].call(address, prefix, &id).await?;
                 let text = String::from_utf8_lossy(&answer);
                 assert!(text.starts_with("HTTP/1.1 50"), "{status}: {text}");
-                assert!(!text.to_lowercase().contains("x-server-stamp"), "{status}: {text}");
+                assert!(!text.to_lowercase().contains(STAMP_HEADER), "{status}: {text}");
             }
         }
     }
