--- a/crates/borageshed/src/target_paths/opening.rs
+++ b/crates/borageshed/src/target_paths/opening.rs
@@ -16,6 +16,9 @@
 
 /// The most daemons that are asked for one request. Those that have lost links themselves decline at once.
 const MAX_ASKED: usize = 8;
+/// The longest id of a request that goes through another daemon. The first message on a connection between daemons is short, and one that is too
+/// long would count against the daemon that is asked.
+const MAX_ID_BYTES: usize = 1_024;
 /// How many daemons that hear from targets must fail to reach this one until it counts as a failure of the target.
 const MAX_UNREACHABLE: usize = 2;
 
@@ -82,7 +85,9 @@
     purpose: Purpose<'_>,
     excluded: &mut Vec<Name>,
 ) -> Option<Opened> {
-    if !cx.target_paths.lock().links.may_ask(cx.clock.now(), to.address) {
+    let is_long =
+        matches!(purpose, Purpose::Send { request_id } if request_id.len() > MAX_ID_BYTES);
+    if is_long || !cx.target_paths.lock().links.may_ask(cx.clock.now(), to.address) {
         return None;
     }
     let mut unreachable = 0;
--- a/crates/borageshed/tests/through_peers.rs
+++ b/crates/borageshed/tests/through_peers.rs
@@ -344,3 +344,16 @@
     drop(worker);
     Ok(())
 }
+
+// Guards against a caller who takes the helpers from others: a request that no helper can accept must not count against the helpers.
+#[async_std::test]
+async fn a_request_with_a_long_id_costs_others_no_helper() -> io::Result<()> {
+    let site = start_cut(&[stream(3)], Cut::Reset).await?;
+    let long = "i".repeat(6_000);
+    for n in 0..4 {
+        let reply = site.send(call(LOOKUPS, &format!("{long}-{n}"))).await;
+        assert_ne!(reply.status, 200, "it cannot reach the target");
+        assert_eq!(site.send(call(DRAFTS, &format!("short-{n}"))).await.status, 200);
+    }
+    Ok(())
+}
