End the loss of a link when no other daemon reaches the target either

Result: the new lines of paths.rs fail before (one link is lost) and pass now; lost_links.rs and through_peers.rs pass.

--- a/crates/policy/src/paths/links.rs
+++ b/crates/policy/src/paths/links.rs
@@ -209,11 +209,12 @@
         true
     }
 
-    /// Records that no other daemon reaches an address either.
+    /// Records that no other daemon reaches an address either, so that it is the target that fails. Ends the loss of its link.
     pub fn on_unreached(&mut self, now: Timestamp, address: SocketAddr) {
         let link = self.links.entry(address).or_default();
         link.settled_at = Some(now);
         link.unreached_until = now + UNREACHED_VALIDITY;
+        self.lost_count -= usize::from(link.loss.take().is_some());
     }
 
     /// Records that a connection to an address was opened; returns how long its link had been lost, if it was.
--- a/crates/policy/tests/paths.rs
+++ b/crates/policy/tests/paths.rs
@@ -103,7 +103,9 @@
     assert!(!links.may_ask(at(1_499), address(FIRST)));
     assert!(links.may_ask(at(1_500), address(FIRST)));
     assert_eq!(links.path(at(1_100), address(FIRST), None), Path::Direct);
+    links.on_lost(at(1_900), address(FIRST), LinkFault::Hangs, &mut rng());
     links.on_unreached(at(2_000), address(FIRST));
+    assert_eq!(links.lost_count(), 0, "a target that fails for all is no lost link");
     assert_eq!(links.on_connected(at(2_100), address(FIRST)), None);
     assert!(links.may_ask(at(2_100), address(FIRST)), "it is reached directly");
 }
