Check lost links without asking other daemons, and keep one idle connection

Cause: each check of a lost link also asked other daemons, which opened a connection to the target to prove that they reach it, and the connections of checks went to the idle ones, up to 64 for each target and daemon. Change: a link that is known to be lost is only checked directly, and a connection that no request has used is kept only if there is no idle one to the target.

--- a/crates/borageshed/src/target_paths/send.rs
+++ b/crates/borageshed/src/target_paths/send.rs
@@ -3,6 +3,7 @@
 use std::{
     future::Future,
     io,
+    net::SocketAddr,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
     task::{Context, Poll},
@@ -227,11 +228,18 @@
     SendError::not_sent(Failure::InvalidRequest("the request cannot be built"))
 }
 
-/// Opens a direct connection to a target, or asks other daemons if that does not succeed at once, and records the result.
+/// Opens a direct connection to a target and records the result. If that does not succeed at once, asks other daemons, unless the link is known to
+/// be lost.
 pub(super) async fn check_link(cx: &Shared, to: TargetRef<'_>) {
+    if cx.target_paths.is_lost(to.address) {
+        if let Ok(connection) = cx.client.connect(to.address).await {
+            cx.target_paths.on_connected(cx, to.address);
+            keep_idle(cx, to.address, connection);
+        }
+        return;
+    }
     match connect_or_ask(cx, to, Purpose::Check).await {
-        // The next request needs no new connection then.
-        Ok(Connected::Direct(connection)) => cx.client.put_back(connection),
+        Ok(Connected::Direct(connection)) => keep_idle(cx, to.address, connection),
         Ok(Connected::ThroughPeer(_)) => {}
         Err(e) => {
             debug!(cx.log, "link to a target checked"; "target" => %to.target, "error" => %e);
@@ -239,6 +247,14 @@
     }
 }
 
+/// Keeps a connection that no request has used, so that the next request needs no new one, unless there is an idle one already: targets accept
+/// a limited number from all daemons.
+pub(super) fn keep_idle(cx: &Shared, address: SocketAddr, connection: OpenConnection) {
+    if cx.client.idle_count(address) == 0 {
+        cx.client.put_back(connection);
+    }
+}
+
 /// Opens a direct connection, or an exchange with a daemon that reaches the target if that does not succeed at once.
 async fn connect_or_ask(
     cx: &Shared,
--- a/crates/borageshed/src/target_paths/serving.rs
+++ b/crates/borageshed/src/target_paths/serving.rs
@@ -34,6 +34,7 @@
 use super::{
     exchange::{append_headers, headers_to_wire},
     heard_ago,
+    send::keep_idle,
 };
 use crate::{
     answer::{BodySender, body_channel},
@@ -84,12 +85,11 @@
     let load = u32::try_from(cx.target_paths.served_count()).unwrap_or(u32::MAX);
     let contact_age_ms = u32::try_from(prepared.contact_age.as_millis()).unwrap_or(u32::MAX);
     let ready = ExchangeReady { load, contact_age_ms };
-    if tx.send(ExchangeMessage::Ready(ready)).await.is_err() {
-        return cx.client.put_back(prepared.connection);
-    }
-    let Some(head) = receive_head(&mut rx).await else {
+    let is_sent = tx.send(ExchangeMessage::Ready(ready)).await.is_ok();
+    let head = if is_sent { receive_head(&mut rx).await } else { None };
+    let Some(head) = head else {
         // The other daemon only wanted to know, or has no use for the exchange any more.
-        return cx.client.put_back(prepared.connection);
+        return keep_idle(cx, prepared.address, prepared.connection);
     };
     let (pieces, body) = body_channel(MAX_QUEUED_PIECES);
     let Some(req) = build_request(head, prepared.address, body) else {
