Soak: allow a further run only for a link that is logged as lost

Change: a request runs at most once for each attempt of its route, and once more for each resend that a daemon has logged after the loss of a link. The distinct targets are bounded by the attempts of the route; a draft runs once.

--- a/crates/borageshed/tests/soak/callers.rs
+++ b/crates/borageshed/tests/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Callers that record the answers to their calls and check that the guarantees of the service hold.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -34,8 +34,6 @@
 const MAX_TAKE_UPS: usize = 3;
 /// The longest pause of a slow reader before it reads on.
 const MAX_READ_PAUSE_MS: u64 = 150;
-/// How often a request that may run again may run at one target: once more for each link that is lost under it, of the daemon itself and of a helper.
-const MAX_RUNS_AT_TARGET: u64 = 3;
 /// The number of items of a job.
 const ITEMS: usize = 3;
 
@@ -364,25 +362,27 @@
         texts.flat_map(|it| order::violations(&it, runs)).collect()
     }
 
-    /// Checks at how many targets each request has run, and how often at each.
-    ///
-    /// The attempts of a route are a number of targets. While the link to one is lost, a request that may run again is sent there again through another
-    /// daemon.
-    pub fn check_run_counts(&self, received: &[ReceivedRequest]) -> Vec<String> {
-        let mut runs: HashMap<&str, HashMap<&str, u64>> = HashMap::new();
+    /// Checks at how many targets each request has run, and how often: once for each attempt of its route, and once more for each time that it left a lost
+    /// link, as the logs of the daemons say.
+    pub fn check_run_counts(&self, received: &[ReceivedRequest], logs: &str) -> Vec<String> {
+        let mut runs: HashMap<&str, Vec<&str>> = HashMap::new();
         for it in received.iter().filter(|it| it.ran) {
-            let runs_at = runs.entry(it.header("x-request-id").unwrap_or_default()).or_default();
-            *runs_at.entry(it.expected_target().unwrap_or_default()).or_default() += 1;
+            let id = it.header("x-request-id").unwrap_or_default();
+            runs.entry(id).or_default().push(it.expected_target().unwrap_or_default());
         }
+        let lost_links = count_lost_links(logs);
         let mut violations = Vec::new();
-        for (id, runs_at) in &runs {
-            let (max_targets, max_runs_at) = match id.split('-').next() {
-                Some("drafts") => (1, 1),
-                Some("streams" | "lookups" | "keptlookups") => (2, MAX_RUNS_AT_TARGET),
+        for (id, targets) in &runs {
+            let (attempts, resends) = match id.split('-').next() {
+                Some("drafts") => (1, 0),
+                Some("streams" | "lookups" | "keptlookups") => {
+                    (2, lost_links.get(id).copied().unwrap_or(0))
+                }
                 _ => continue,
             };
-            if runs_at.len() > max_targets || runs_at.values().any(|it| *it > max_runs_at) {
-                violations.push(format!("{id} ran at {runs_at:?}"));
+            let distinct: HashSet<_> = targets.iter().collect();
+            if distinct.len() > attempts || targets.len() > attempts + resends {
+                violations.push(format!("{id} ran at {targets:?} with {resends} lost links"));
             }
         }
         let not_run = self.lock().not_run.clone();
@@ -425,3 +425,17 @@
     let data = whole.lines().filter_map(|it| it.strip_prefix("data: "));
     (data.map(str::to_owned).collect(), rest.to_owned())
 }
+
+/// Returns how often each request was sent again because the link under it was lost.
+fn count_lost_links(logs: &str) -> HashMap<&str, usize> {
+    let mut counts = HashMap::new();
+    for line in logs.lines() {
+        let is_resend = line.contains("request leaves a lost link")
+            || (line.contains("stream broke") && line.contains("cause=LinkLost"));
+        let id = line.split_whitespace().find_map(|it| it.strip_prefix("request="));
+        if let Some(id) = id.filter(|_| is_resend) {
+            *counts.entry(id).or_default() += 1;
+        }
+    }
+    counts
+}
--- a/crates/borageshed/tests/soak/fixture.rs
+++ b/crates/borageshed/tests/soak/fixture.rs
@@ -214,6 +214,11 @@
         self.targets.iter().flat_map(named).collect()
     }
 
+    /// Returns the logs of all daemons.
+    pub fn logs(&self) -> io::Result<String> {
+        self.daemons.iter().map(|it| fs::read_to_string(&it.log)).collect()
+    }
+
     /// Stops the daemons and returns the folder of their logs, which is kept if `keep_logs` is set.
     pub fn stop(self, keep_logs: bool) -> PathBuf {
         drop(self.daemons);
--- a/crates/borageshed/tests/soak/main.rs
+++ b/crates/borageshed/tests/soak/main.rs
@@ -82,7 +82,9 @@
             .push(format!("jobs not finished: {:?}", callers.unfinished_jobs(&jobs).await));
     }
     observations.violations.extend(callers.check_results(&jobs).await);
-    observations.violations.extend(callers.check_run_counts(&fixture.received_requests()));
+    observations
+        .violations
+        .extend(callers.check_run_counts(&fixture.received_requests(), &fixture.logs()?));
     observations.violations.extend(callers.check_order(&fixture.runs()));
     let folder = fixture.stop(!observations.violations.is_empty());
     Ok((observations, folder))
